--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -94,6 +94,8 @@
     wanted: bool,
     present: Present,
     sent: Duration,
+    /// How long an ordinary leg of this kind takes; after it the host's silence is looked into.
+    ordinary: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -131,6 +133,8 @@
     traffic: Decaying,
     purged_objects: BTreeMap<ObjectId, Duration>,
     purged_groups: BTreeMap<GroupId, Duration>,
+    timers: BTreeMap<TimerId, (QueryId, LegNo)>,
+    last_timer: u32,
     chance: oorandom::Rand64,
     now: Duration,
     longest: Duration,
@@ -156,6 +160,8 @@
             traffic: Decaying::default(),
             purged_objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            last_timer: 0,
             chance: oorandom::Rand64::new(u128::from(seed)),
             now: Duration::ZERO,
             longest,
@@ -187,11 +193,10 @@
                 }
                 self.emit(query);
             }
-            Event::TimerDue(_) => {
-                if self.told.ask_within.is_some() {
-                    self.actions.push(Action::Subscribe { on: true });
-                }
+            Event::TimerDue(TimerId(0)) if self.told.ask_within.is_some() => {
+                self.actions.push(Action::Subscribe { on: true });
             }
+            Event::TimerDue(timer) => self.look_into(timer),
             Event::Purged { object, group, ago } => self.purged(object, group, ago),
             Event::Probed { .. } | Event::Told { .. } => {}
         }
@@ -497,12 +502,13 @@
             Effect::Labelled { scope: LabelScope::All, .. } => true,
             _ => open.legs.iter().all(|l| matches!(l.present, Present::Over(o) if never_ran(o))),
         };
-        let now = self.now;
+        let (now, ordinary) = (self.now, self.ordinary(open));
         let open = self.open.get_mut(&id).unwrap();
         match leg {
             Some(plan) => {
                 open.held_tried |= plan.source == Source::None && !open.legs.is_empty();
-                open.legs.push(LegState { plan, wanted: true, present: Present::Unsent, sent: now });
+                let present = Present::Unsent;
+                open.legs.push(LegState { plan, wanted: true, present, sent: now, ordinary });
             }
             None if dismissible => open.wanted_answer = Some(Answer::Dismissed),
             None => open.wanted_answer = Some(Answer::Terminated),
@@ -557,17 +563,43 @@
         })
     }
 
-    /// A leg's time-out leaves room for a retry before the due time, but lets an ordinary leg finish.
+    /// How long an ordinary leg takes, a fill included.
+    fn ordinary(&self, open: &Open) -> Duration {
+        let sized = open.query.size_kb > 0.0 && self.told.stream_kb_per_s > 0.0;
+        let work = if sized { open.work } else { self.long_work(open.query.product) };
+        Duration::from_secs_f64(LEG_SENDING * work)
+            + self.rows[open.query.product.0].told.due.mul_f64(LEG_FIXED)
+    }
+
+    /// A leg's time-out leaves room for a retry, but lets an ordinary leg finish. Where a held copy can serve
+    /// the room is before the due time, else before the client gives up.
     fn leg_limit(&self, open: &Open, held: bool) -> Option<Duration> {
         let told = &self.rows[open.query.product.0].told;
-        let fixed = told.due.as_secs_f64();
-        let work = if open.query.size_kb > 0.0 { open.work } else { self.long_work(open.query.product) };
-        let left = open.due.saturating_sub(self.now).as_secs_f64();
-        let room = RETRY_SENDING * open.work + RETRY_FIXED * fixed;
-        let ordinary = LEG_SENDING * work + LEG_FIXED * fixed;
-        let limit = if held { left.max(ordinary) } else { (left - room).max(ordinary) };
-        let repeatable = told.effect == Effect::Redoable;
-        repeatable.then(|| Duration::from_secs_f64(limit).min(open.ends.saturating_sub(self.now)))
+        let room = Duration::from_secs_f64(RETRY_SENDING * open.work) + told.due.mul_f64(RETRY_FIXED);
+        let room = if held { Duration::ZERO } else { room };
+        let until = if told.grace > Duration::ZERO && !open.held_tried { open.due } else { open.ends };
+        let limit = until.saturating_sub(self.now + room).max(self.ordinary(open));
+        (told.effect == Effect::Redoable).then(|| limit.min(open.ends.saturating_sub(self.now)))
+    }
+
+    /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
+    /// answered nothing since is called off and planned anew. Slow but answering hosts are left alone. Harm: on
+    /// a host with next to no traffic one slow leg looks like silence.
+    fn look_into(&mut self, timer: TimerId) {
+        let Some((id, no)) = self.timers.remove(&timer) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
+        let Some(leg) = open.legs.get_mut(no.0 as usize).filter(|l| l.present == Present::Out) else {
+            return;
+        };
+        let silent = self.hosts.get(&leg.plan.host).is_some_and(|h| h.last_answer <= leg.sent);
+        if silent && redoable && self.told.cancel && !open.begun {
+            let host = leg.plan.host;
+            leg.wanted = false;
+            open.failed.push(host);
+            self.mark(host, 0.0, 1.0);
+            self.emit(id);
+        }
     }
 
     fn usable(&self, id: HostId) -> bool {
@@ -686,7 +718,10 @@
                 self.mark(plan.host, 1.0, 0.0);
                 let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
                 let share = if self.told.notes == Notes::None { 0.3 } else { f64::from(u8::from(filled)) };
-                source.into_iter().for_each(|s| self.mark(s, share, 0.0));
+                if let Some(host) = source.filter(|_| share > 0.0).and_then(|s| self.hosts.get_mut(&s)) {
+                    host.last_answer = now;
+                    host.good.add(now, memory, share);
+                }
             }
             (Outcome::Miss, _) => {
                 self.mark(plan.host, 1.0, 0.0);
@@ -698,9 +733,10 @@
                 source.into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
                 failed.extend(source);
             }
-            (Outcome::TimedOut, _) if !silent && source.is_some() => {
-                // The host answered others meanwhile: what was slow lies behind it.
-                source.into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
+            (Outcome::TimedOut, _) if !silent => {
+                // The host answered others meanwhile: what was slow lies behind it, if that was silent too.
+                let mute = |s: &HostId| self.hosts.get(s).is_some_and(|h| h.last_answer <= sent);
+                source.filter(mute).into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
                 failed.extend(source);
             }
             (Outcome::HostError | Outcome::TurnedAway, _)
@@ -733,6 +769,10 @@
                     leg.present = Present::Out;
                     sent.push(leg.plan);
                     self.actions.push(Action::Send { query: id, leg: leg.plan });
+                    self.last_timer = self.last_timer.checked_add(1).unwrap_or(1);
+                    let timer = TimerId(self.last_timer);
+                    self.timers.insert(timer, (id, LegNo(no as u16)));
+                    self.actions.push(Action::SetTimer { timer, span: leg.ordinary });
                 }
                 Present::Out if self.told.cancel && (over && !open.begun || !leg.wanted) => {
                     leg.present = Present::CalledOff;
