--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -27,7 +27,7 @@
 /// In-flight slots that a fresh cache gains with each answer.
 const FRESH_GAIN: f64 = 0.5;
 /// Load, over what a cache's link carries at full pace, up to which the hash order stands.
-const CALM_LOAD: f64 = 1.2;
+const CALM_LOAD: f64 = 4.0;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
 /// Sending times, and parts of the fixed due time, that a leg is given and that its retry needs.
