Crowding: pass on to idle caches only, dismiss by how late answers are

Cause: under overload all caches are crowded; sharing the crowd made every answer late. Now a crowded cache passes a query on only to one under half the calm load, and the crowding accepted falls as answers come late; guards against any shared slowness. Harm: late answers of another cause lower what is accepted while caches are crowded.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -27,7 +27,12 @@
 /// In-flight slots that a fresh cache gains with each answer.
 const FRESH_GAIN: f64 = 0.5;
 /// Load, over what a cache's link carries at full pace, up to which the hash order stands.
-const CALM_LOAD: f64 = 4.0;
+const CALM_LOAD: f64 = 2.0;
+/// Part of that below which another cache counts as idle enough to take a query out of the hash order.
+const IDLE_PART: f64 = 0.5;
+/// How strongly late answers of late lower the crowding that is accepted, and how far at most.
+const LATE_WEIGHT: f64 = 2.0;
+const LEAST_CROWD: f64 = 0.2;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
 /// Sending times, and parts of the fixed due time, that a leg is given and that its retry needs.
@@ -131,6 +136,8 @@
     open: BTreeMap<QueryId, Open>,
     seen: BTreeMap<(ObjectId, u32), Decaying>,
     traffic: Decaying,
+    late: Decaying,
+    timely: Decaying,
     purged_objects: BTreeMap<ObjectId, Duration>,
     purged_groups: BTreeMap<GroupId, Duration>,
     timers: BTreeMap<TimerId, (QueryId, LegNo)>,
@@ -158,6 +165,8 @@
             open: BTreeMap::new(),
             seen: BTreeMap::new(),
             traffic: Decaying::default(),
+            late: Decaying::default(),
+            timely: Decaying::default(),
             purged_objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
             timers: BTreeMap::new(),
@@ -619,13 +628,16 @@
         };
         let calm = |id: &HostId| self.load(*id) <= CALM_LOAD;
         let first = least(&mut usable.iter().copied().filter(|id| near.contains(id)));
-        // Exception: a crowded cache passes the query on in hash order, to the least crowded if all are.
-        let pick = first.filter(calm).or_else(|| usable.iter().copied().find(calm)).or_else(|| {
+        // Exception: a crowded cache passes the query on in hash order to one that is idle enough.
+        let idle = |id: &HostId| self.load(*id) <= CALM_LOAD * IDLE_PART;
+        first.filter(calm).or_else(|| usable.iter().copied().find(idle)).or_else(|| {
             let told = &self.rows[query.product.0].told;
-            let most = CROWD_PART * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
+            let memory = self.memory(HEALTH_MEMORY);
+            let (late, timely) = (self.late.read(self.now, memory), self.timely.read(self.now, memory));
+            let eased = (1.0 - LATE_WEIGHT * late / (late + timely + 1.0)).max(LEAST_CROWD);
+            let most = CROWD_PART * eased * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
             least(&mut usable.iter().copied()).filter(|id| self.load(*id) <= most)
-        });
-        pick
+        })
     }
 
     /// How many caches an object is spread over: two when this dispatcher sees it often, but never all.
@@ -657,6 +669,10 @@
         }
         leg.present = Present::Over(end.outcome);
         let (plan, sent) = (leg.plan, leg.sent);
+        if end.over && end.outcome == Outcome::Succeeded {
+            let sum = if self.now <= open.due { &mut self.timely } else { &mut self.late };
+            sum.add(self.now, self.longest.mul_f64(HEALTH_MEMORY), 1.0);
+        }
         if end.over {
             open.wanted_answer = Some(Answer::Given);
             open.answered = true;
