While no source fills, ask for held copies only, with trials

Sources that look bad are now left out but for trials, and one good answer clears part of the record. Harm: sources blamed wrongly cost misses for some trials.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -21,7 +21,9 @@
 const SICK_FROM: f64 = 2.0;
 const SICK_SHARE: f64 = 0.25;
 /// Pause between trials of an avoided host, over the longest outer limit.
-const TRIAL_PAUSE: f64 = 0.2;
+const TRIAL_PAUSE: f64 = 0.05;
+/// Part of an avoided host's failures that one good answer clears.
+const CURE: f64 = 0.3;
 /// Part of a cold host's budget that a decaying sum over its span may hold: at most twice that in any span.
 const COLD_PART: f64 = 0.4;
 /// In-flight slots that a fresh cache gains with each answer.
@@ -399,6 +401,10 @@
         bad >= SICK_FROM && bad >= SICK_SHARE * (good + bad)
     }
 
+    fn well(&self, id: HostId) -> bool {
+        !self.sick(id) || self.hosts[&id].next_trial <= self.now
+    }
+
     /// Drops avoided hosts, those due for a trial excepted. If most of them look bad the trouble may lie behind
     /// them all, and none is shut out.
     fn without_sick(&self, hosts: Vec<HostId>) -> Vec<HostId> {
@@ -406,7 +412,7 @@
         if sick * 2 > hosts.len() {
             return hosts;
         }
-        hosts.into_iter().filter(|id| !self.sick(*id) || self.hosts[id].next_trial <= self.now).collect()
+        hosts.into_iter().filter(|id| self.well(*id)).collect()
     }
 
     /// Ready hosts of a role in the hash order of a part of an object; the same at every dispatcher.
@@ -515,7 +521,7 @@
         let open = self.open.get_mut(&id).unwrap();
         match leg {
             Some(plan) => {
-                open.held_tried |= plan.source == Source::None && !open.legs.is_empty();
+                open.held_tried |= plan.source == Source::None;
                 let present = Present::Unsent;
                 open.legs.push(LegState { plan, wanted: true, present, sent: now, ordinary });
             }
@@ -551,7 +557,8 @@
                 None => return None,
             }
         };
-        if !self.may_repeat(open, host) {
+        let held = source == Source::None;
+        if !self.may_repeat(open, host) || held && (open.held_tried || !told.cacheable) {
             return None;
         }
         let widest = told.fresh + if held { told.grace } else { Duration::ZERO };
@@ -652,13 +659,14 @@
         }
     }
 
-    /// The first parent in hash order that can serve, else the origin, else only what the cache holds.
+    /// The first parent in hash order that can serve, else the origin, else only what the cache holds: while no
+    /// source fills, waiting fills would crowd the hits out of the caches and push the origin further down.
     fn pick_source(&self, open: &Open) -> Source {
         let mean = self.mean_work(open.query.product);
-        let parents = self.without_sick(self.order(Role::Parent, &open.query));
-        let origin = self.without_sick(self.order(Role::Origin, &open.query));
-        let fits = |id: &&HostId| self.affords(**id, mean) && !open.failed.contains(id);
-        parents.iter().chain(&origin).find(fits).map_or(Source::None, |id| Source::Host(*id))
+        let mut sources = self.order(Role::Parent, &open.query);
+        sources.extend(self.order(Role::Origin, &open.query));
+        let fits = |id: &HostId| self.well(*id) && self.affords(*id, mean) && !open.failed.contains(id);
+        sources.into_iter().find(fits).map_or(Source::None, Source::Host)
     }
 
     fn leg_ended(&mut self, end: LegEnd) {
@@ -684,9 +692,11 @@
 
     fn mark(&mut self, id: HostId, good: f64, bad: f64) {
         let (now, memory) = (self.now, self.memory(HEALTH_MEMORY));
+        let cured = if good > 0.0 && self.hosts.contains_key(&id) && self.sick(id) { CURE } else { 0.0 };
         if let Some(host) = self.hosts.get_mut(&id) {
             host.good.add(now, memory, good);
-            host.bad.add(now, memory, bad);
+            let cured = cured * host.bad.read(now, memory);
+            host.bad.add(now, memory, bad - cured);
         }
     }
 
@@ -734,9 +744,9 @@
                 self.mark(plan.host, 1.0, 0.0);
                 let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
                 let share = if self.told.notes == Notes::None { 0.3 } else { f64::from(u8::from(filled)) };
-                if let Some(host) = source.filter(|_| share > 0.0).and_then(|s| self.hosts.get_mut(&s)) {
-                    host.last_answer = now;
-                    host.good.add(now, memory, share);
+                if let Some(source) = source.filter(|_| share > 0.0) {
+                    self.mark(source, share, 0.0);
+                    self.hosts.entry(source).and_modify(|h| h.last_answer = now);
                 }
             }
             (Outcome::Miss, _) => {
@@ -751,7 +761,9 @@
             }
             (Outcome::TimedOut, _) if !silent => {
                 // The host answered others meanwhile: what was slow lies behind it, if that was silent too.
-                let mute = |s: &HostId| self.hosts.get(s).is_some_and(|h| h.last_answer <= sent);
+                // Where nothing tells hits from fills that can't be known.
+                let untold = self.told.notes == Notes::None;
+                let mute = |s: &HostId| untold || self.hosts.get(s).is_some_and(|h| h.last_answer <= sent);
                 source.filter(mute).into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
                 failed.extend(source);
             }
