Ask crowded caches only for what they hold

A cache over the calm load now gets legs without a source; a miss comes back at once and is dismissed. Guards against any slowness behind the caches, and against overload: hits are cheap, fills are not. Harm: on a cache crowded by hits alone, misses are given up that could have been filled.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -538,13 +538,16 @@
         let (host, source) = if held {
             // The held-copy retry: same cache, which may hold one, unless it is what failed.
             let same = last.map(|l| l.plan.host).filter(|h| !open.failed.contains(h) && self.usable(*h));
-            (same.or_else(|| self.pick_cache(open))?, Source::None)
+            (same.or_else(|| Some(self.pick_cache(open)?.0))?, Source::None)
         } else {
             if open.legs.iter().filter(|l| l.plan.source != Source::None).count() >= FETCH_LEGS {
                 return None;
             }
             match self.pick_cache(open) {
-                Some(cache) => (cache, self.pick_source(open)),
+                // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a
+                // slow source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
+                Some((cache, true)) if told.cacheable => (cache, Source::None),
+                Some((cache, _)) => (cache, self.pick_source(open)),
                 // Exception: with no cache of the location listed as ready, straight to where fills come from.
                 None if self.told.direct && self.order(Role::Cache, query).is_empty() => {
                     let origin = self.order(Role::Origin, query).first().copied();
@@ -622,7 +625,8 @@
         self.hosts.get(&id).is_some_and(|h| h.listing.readiness == Readiness::Ready) && self.has_slot(id)
     }
 
-    fn pick_cache(&self, open: &Open) -> Option<HostId> {
+    /// The cache for a leg, and whether it is too crowded for a fill.
+    fn pick_cache(&self, open: &Open) -> Option<(HostId, bool)> {
         let query = &open.query;
         let mean = self.mean_work(query.product);
         let order = self.order(Role::Cache, query);
@@ -637,13 +641,14 @@
         let first = least(&mut usable.iter().copied().filter(|id| near.contains(id)));
         // Exception: a crowded cache passes the query on in hash order to one that is idle enough.
         let idle = |id: &HostId| self.load(*id) <= CALM_LOAD * IDLE_PART;
-        first.filter(calm).or_else(|| usable.iter().copied().find(idle)).or_else(|| {
+        let calm_one = first.filter(calm).or_else(|| usable.iter().copied().find(idle)).map(|id| (id, false));
+        calm_one.or_else(|| {
             let told = &self.rows[query.product.0].told;
             let memory = self.memory(HEALTH_MEMORY);
             let (late, timely) = (self.late.read(self.now, memory), self.timely.read(self.now, memory));
             let eased = (1.0 - LATE_WEIGHT * late / (late + timely + 1.0)).max(LEAST_CROWD);
             let most = CROWD_PART * eased * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
-            least(&mut usable.iter().copied()).filter(|id| self.load(*id) <= most)
+            first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
         })
     }
 
