Limit fills while they come late; look first meanwhile

While legs with a source come late their number is cut until those let through come in time; the others only look. Guards against a full link, a slow source or a slow parent alike. Harm: a burst of late answers of another cause costs a few seconds of misses.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -37,6 +37,14 @@
 const LEAST_CROWD: f64 = 0.2;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
+/// Share of late answers among legs with a source at which fills count as scarce; their number then starts at
+/// this part of those out, falls to this part with each late one, and grows while this part of it is used.
+const SCARCE_SHARE: f64 = 0.15;
+const SCARCE_START: f64 = 0.5;
+const FILL_CUT: f64 = 0.9;
+const FILL_USED: f64 = 0.8;
+/// How long fills stay scarce after the last late one, over the longest outer limit.
+const SCARCE_HOLD: f64 = 0.3;
 /// Sending times, and parts of the fixed due time, that a leg is given and that its retry needs.
 const LEG_SENDING: f64 = 1.25;
 const LEG_FIXED: f64 = 0.5;
@@ -121,6 +129,7 @@
     work: f64,
     legs: Vec<LegState>,
     begun: bool,
+    looked: bool,
     held_tried: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
@@ -140,6 +149,10 @@
     traffic: Decaying,
     late: Decaying,
     timely: Decaying,
+    /// Legs out that name a source, how many may be while fills are scarce, and until when they are.
+    fills_out: usize,
+    fill_limit: f64,
+    scarce_until: Duration,
     purged_objects: BTreeMap<ObjectId, Duration>,
     purged_groups: BTreeMap<GroupId, Duration>,
     timers: BTreeMap<TimerId, (QueryId, LegNo)>,
@@ -169,6 +182,9 @@
             traffic: Decaying::default(),
             late: Decaying::default(),
             timely: Decaying::default(),
+            fills_out: 0,
+            fill_limit: 1.0,
+            scarce_until: Duration::ZERO,
             purged_objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
             timers: BTreeMap::new(),
@@ -468,6 +484,7 @@
             work,
             legs: Vec::new(),
             begun: false,
+            looked: false,
             held_tried: false,
             failed: Vec::new(),
             suspects: None,
@@ -521,7 +538,11 @@
         let open = self.open.get_mut(&id).unwrap();
         match leg {
             Some(plan) => {
-                open.held_tried |= plan.source == Source::None;
+                let fresh = self.rows[open.query.product.0].told.fresh;
+                let held =
+                    plan.source == Source::None && (open.looked || plan.oldest.is_none_or(|o| o > fresh));
+                open.held_tried |= held;
+                open.looked |= plan.source == Source::None;
                 let present = Present::Unsent;
                 open.legs.push(LegState { plan, wanted: true, present, sent: now, ordinary });
             }
@@ -534,7 +555,9 @@
         let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
         let last = open.legs.last();
         let cap = self.purge_cap(query);
-        let held = last.is_some() && told.cacheable && told.grace > Duration::ZERO && !open.held_tried;
+        let failed = matches!(last, Some(l) if l.plan.source != Source::None);
+        let held = failed && told.cacheable && told.grace > Duration::ZERO && !open.held_tried;
+        let mut look = false;
         let (host, source) = if held {
             // The held-copy retry: same cache, which may hold one, unless it is what failed.
             let same = last.map(|l| l.plan.host).filter(|h| !open.failed.contains(h) && self.usable(*h));
@@ -547,6 +570,12 @@
                 // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a
                 // slow source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
                 Some((cache, true)) if told.cacheable => (cache, Source::None),
+                // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
+                Some((cache, _)) if told.cacheable && self.now < self.scarce_until => {
+                    look = !open.looked;
+                    let full = self.fills_out as f64 >= self.fill_limit;
+                    (cache, if look || full { Source::None } else { self.pick_source(open) })
+                }
                 Some((cache, _)) => (cache, self.pick_source(open)),
                 // Exception: with no cache of the location listed as ready, straight to where fills come from.
                 None if self.told.direct && self.order(Role::Cache, query).is_empty() => {
@@ -560,7 +589,7 @@
                 None => return None,
             }
         };
-        let held = source == Source::None;
+        let held = source == Source::None && !look;
         if !self.may_repeat(open, host) || held && (open.held_tried || !told.cacheable) {
             return None;
         }
@@ -682,10 +711,6 @@
         }
         leg.present = Present::Over(end.outcome);
         let (plan, sent) = (leg.plan, leg.sent);
-        if end.over && end.outcome == Outcome::Succeeded {
-            let sum = if self.now <= open.due { &mut self.timely } else { &mut self.late };
-            sum.add(self.now, self.longest.mul_f64(HEALTH_MEMORY), 1.0);
-        }
         if end.over {
             open.wanted_answer = Some(Answer::Given);
             open.answered = true;
@@ -715,6 +740,7 @@
         };
         let answered = matches!(end.outcome, Outcome::Succeeded | Outcome::Miss);
         let mean = self.mean_work(product);
+        let in_time = now <= self.open[&end.query].due;
         let mut silent = true;
         if let Some(host) = self.hosts.get_mut(&plan.host) {
             host.out = host.out.saturating_sub(1);
@@ -725,6 +751,14 @@
                 host.carried.add(now, memory, mean);
             }
         }
+        if source.is_some() {
+            self.fills_out = self.fills_out.saturating_sub(1);
+            match end.outcome {
+                Outcome::Succeeded => self.weigh_fill(in_time),
+                Outcome::TimedOut if !silent => self.weigh_fill(false),
+                _ => {}
+            }
+        }
         let sized = self.told.stream_kb_per_s > 0.0 && self.open[&end.query].query.size_kb > 0.0;
         if end.outcome == Outcome::Succeeded && !sized {
             self.learn_work(product, end.took.as_secs_f64());
@@ -790,6 +824,30 @@
         self.open.get_mut(&end.query).unwrap().failed.extend(failed);
     }
 
+    /// Guards against fills that crowd each other on a full link or at a slow source: when legs with a source
+    /// come late, their number is cut until those that are let through come in time.
+    fn weigh_fill(&mut self, in_time: bool) {
+        let (now, memory) = (self.now, self.memory(HEALTH_MEMORY));
+        let scarce = now < self.scarce_until;
+        if in_time {
+            self.timely.add(now, memory, 1.0);
+            if self.fills_out as f64 + 1.0 >= FILL_USED * self.fill_limit {
+                self.fill_limit += 1.0 / self.fill_limit;
+            }
+            return;
+        }
+        self.late.add(now, memory, 1.0);
+        let (late, timely) = (self.late.read(now, memory), self.timely.read(now, memory));
+        if scarce {
+            self.fill_limit = (self.fill_limit * FILL_CUT).max(1.0);
+        } else if late >= SICK_FROM && late > SCARCE_SHARE * (late + timely) {
+            self.fill_limit = (self.fills_out as f64 * SCARCE_START).max(1.0);
+        } else {
+            return;
+        }
+        self.scarce_until = now + self.memory(SCARCE_HOLD);
+    }
+
     /// The only place where actions on queries come from: the difference between what is wanted and what is.
     fn emit(&mut self, id: QueryId) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -833,6 +891,7 @@
         let mean = self.mean_work(product);
         for plan in sent {
             let source = if let Source::Host(s) = plan.source { Some(s) } else { None };
+            self.fills_out += usize::from(source.is_some_and(|s| s != plan.host));
             for host in [Some(plan.host), source.filter(|s| *s != plan.host)].into_iter().flatten() {
                 self.book(host, mean, host == plan.host);
             }
