--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -41,7 +41,7 @@
 /// this part of those out, falls to this part with each late one, and grows while this part of it is used.
 const SCARCE_SHARE: f64 = 0.15;
 const SCARCE_START: f64 = 0.5;
-const FILL_CUT: f64 = 0.9;
+const FILL_CUT: f64 = 0.97;
 const FILL_USED: f64 = 0.8;
 /// How long fills stay scarce after the last late one, over the longest outer limit.
 const SCARCE_HOLD: f64 = 0.3;
