--- a/crates/rockflow-benchlink/src/lib.rs
+++ b/crates/rockflow-benchlink/src/lib.rs
@@ -367,14 +367,14 @@
     fn put_leg(&mut self, query: QueryId, leg: &Leg) {
         let how = [(leg.join, 1), (leg.held_at_source, 2), (leg.unkept_at_parent, 4), (leg.renew, 8)];
         let how: u8 = how.iter().filter(|(on, _)| *on).map(|(_, bit)| bit).sum();
-        let looks = leg.source == Source::None && leg.keep == Keep::Not && leg.oldest.is_none() && how == 0;
+        let looks = leg.source.is_none() && leg.keep == Keep::Not && leg.oldest.is_none() && how == 0;
         self.record(if looks { 320 } else { 332 }, |out| {
             out.extend_from_slice(&query.0.to_be_bytes());
             put_host(out, leg.host);
             // Zero would mean no limit at all.
             put_micros(out, leg.limit.map_or(Duration::ZERO, |limit| limit.max(Duration::from_micros(1))));
             if !looks {
-                put_host(out, if let Source::Host(source) = leg.source { source } else { leg.host });
+                put_host(out, leg.source.unwrap_or(leg.host));
                 out.push(leg.keep as u8);
                 put_micros(out, leg.oldest.unwrap_or_default());
                 out.push(how);
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -238,14 +238,6 @@
     },
 }
 
-/// Where a miss is filled from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The cache answers from what it holds.
-    None,
-    Host(HostId),
-}
-
 /// Rank at which a copy is kept; the lowest is dropped first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Keep {
@@ -258,7 +250,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Leg {
     pub host: HostId,
-    pub source: Source,
+    /// Where a miss is filled from; none: the host answers from what it holds.
+    pub source: Option<HostId>,
     /// None: until the client gives up.
     pub limit: Option<Duration>,
     pub keep: Keep,
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -54,40 +54,56 @@
 const LEG_DEVIATIONS: f64 = 3.0;
 /// Legs that fetch, at most, for one query.
 const FETCH_LEGS: usize = 3;
-
-/// A sum that fades; brought up to date when it is read.
-#[derive(Clone, Copy, Debug, Default)]
+/// What a success counts for a source where nothing tells hits from fills.
+const UNTOLD_FILL: f64 = 0.3;
+/// Part of a labelled query's remembered time within which it is sent again.
+const REMEMBERED_PART: f64 = 0.9;
+/// Times the told span that a purge is heeded, for clocks and notices that lag.
+const PURGE_KEPT: u32 = 2;
+/// Part of the longest pause that a dismissal names at least; the rest is chance, so that clients spread out.
+const LEAST_PAUSE: f64 = 0.5;
+/// Part of the time a list may be relied on after which it is asked for again, once to twice.
+const ASK_AGAIN: f64 = 0.1;
+const SUBSCRIPTION: TimerId = TimerId(0);
+
+/// A sum that fades over its memory; brought up to date when it is read.
+#[derive(Clone, Copy, Debug)]
 struct Decaying {
     sum: f64,
     at: Duration,
+    memory: f64,
 }
 
 impl Decaying {
-    fn read(&self, now: Duration, memory: Duration) -> f64 {
-        self.sum * libm::exp(-now.saturating_sub(self.at).as_secs_f64() / memory.as_secs_f64().max(1e-6))
+    fn over(memory: Duration) -> Self {
+        Decaying { sum: 0.0, at: Duration::ZERO, memory: memory.as_secs_f64().max(1e-6) }
+    }
+
+    fn read(&self, now: Duration) -> f64 {
+        self.sum * libm::exp(-now.saturating_sub(self.at).as_secs_f64() / self.memory)
     }
 
-    fn add(&mut self, now: Duration, memory: Duration, amount: f64) {
-        *self = Decaying { sum: (self.read(now, memory) + amount).max(0.0), at: now };
+    fn add(&mut self, now: Duration, amount: f64) {
+        (self.sum, self.at) = ((self.read(now) + amount).max(0.0), now);
     }
 }
 
-/// What differs by product: the told figures and the sending time seen so far.
+/// What differs by product: the told figures and the sending times seen.
 #[derive(Debug)]
 struct Row {
     told: Product,
-    legs: Decaying,
-    time: Decaying,
-    square: Decaying,
+    /// How many, their sum and the sum of their squares.
+    sending: [Decaying; 3],
 }
 
 #[derive(Debug)]
 struct Host {
     listing: Listing,
+    cold: ColdStart,
     out: usize,
     good: Decaying,
     bad: Decaying,
-    /// Sending time of what was sent here, for the cold budget and for what a host of unknown size carries.
+    /// Sending time asked of it, against its budget while it is cold, and sending time it has carried.
     asked: Decaying,
     carried: Decaying,
     answers_since_start: f64,
@@ -95,6 +111,14 @@
     next_trial: Duration,
 }
 
+/// What a leg is for: the ordinary path, a look at what is held and fresh, or a held copy within the grace.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Aim {
+    Fetch,
+    Look,
+    Held,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Present {
     Unsent,
@@ -106,18 +130,10 @@
 #[derive(Debug)]
 struct LegState {
     plan: Leg,
+    aim: Aim,
     wanted: bool,
     present: Present,
     sent: Duration,
-    /// How long an ordinary leg of this kind takes; after it the host's silence is looked into.
-    ordinary: Duration,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Answer {
-    Given,
-    Dismissed,
-    Terminated,
 }
 
 #[derive(Debug)]
@@ -125,18 +141,33 @@
     query: Query,
     due: Duration,
     ends: Duration,
-    /// Sending time: told, or the mean of the product.
+    /// Sending time: told, or the mean of the product; and how long an ordinary leg takes, a fill included.
     work: f64,
+    ordinary: Duration,
     legs: Vec<LegState>,
     begun: bool,
-    looked: bool,
-    held_tried: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
     /// A cache and a source of which one has failed, until the next leg tells which.
     suspects: Option<(HostId, HostId)>,
-    wanted_answer: Option<Answer>,
-    answered: bool,
+    /// The final answer that is wanted and not yet given, and whether none is owed any more.
+    answer: Option<Action>,
+    over: bool,
+}
+
+impl Open {
+    fn had(&self, aim: Aim) -> usize {
+        self.legs.iter().filter(|leg| leg.aim == aim).count()
+    }
+
+    /// Legs of which it is not known that they never ran.
+    fn maybe_ran(&self) -> impl Iterator<Item = &LegState> {
+        self.legs.iter().filter(|leg| !matches!(leg.present, Present::Over(outcome) if never_ran(outcome)))
+    }
+}
+
+fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::TurnedAway | Outcome::NotConnected | Outcome::NotSent | Outcome::Miss)
 }
 
 pub struct Dispatcher {
@@ -155,23 +186,21 @@
     scarce_until: Duration,
     purged_objects: BTreeMap<ObjectId, Duration>,
     purged_groups: BTreeMap<GroupId, Duration>,
-    timers: BTreeMap<TimerId, (QueryId, LegNo)>,
+    timers: BTreeMap<TimerId, (QueryId, usize)>,
     last_timer: u32,
     chance: oorandom::Rand64,
     now: Duration,
+    /// The longest outer limit, which the spans of memory are ratios of.
     longest: Duration,
     actions: Vec<Action>,
 }
 
 impl Dispatcher {
     pub fn new(told: Deployment, seed: u64) -> Self {
-        let row = |told: &Product| Row {
-            told: told.clone(),
-            legs: Decaying::default(),
-            time: Decaying::default(),
-            square: Decaying::default(),
-        };
         let longest = told.products.iter().map(|p| p.outer_limit).max().unwrap_or(Duration::from_secs(1));
+        let popularity = Decaying::over(longest.mul_f64(POPULARITY_MEMORY));
+        let health = Decaying::over(longest.mul_f64(HEALTH_MEMORY));
+        let row = |told: &Product| Row { told: told.clone(), sending: [popularity; 3] };
         Dispatcher {
             rows: told.products.iter().map(row).collect(),
             told,
@@ -179,9 +208,9 @@
             listed: false,
             open: BTreeMap::new(),
             seen: BTreeMap::new(),
-            traffic: Decaying::default(),
-            late: Decaying::default(),
-            timely: Decaying::default(),
+            traffic: popularity,
+            late: health,
+            timely: health,
             fills_out: 0,
             fill_limit: 1.0,
             scarce_until: Duration::ZERO,
@@ -208,21 +237,14 @@
             Event::Listed { scope, hosts } => self.listed(scope, hosts),
             Event::Asked(query) => self.asked(query),
             Event::LegBegan { query, .. } => {
-                if let Some(open) = self.open.get_mut(&query) {
-                    open.begun = true;
-                }
+                self.open.entry(query).and_modify(|open| open.begun = true);
             }
             Event::LegEnded(end) => self.leg_ended(end),
             Event::ClientLeft(query) => {
-                if let Some(open) = self.open.get_mut(&query) {
-                    open.wanted_answer = Some(Answer::Given);
-                    open.answered = true;
-                }
+                self.open.entry(query).and_modify(|open| open.over = true);
                 self.emit(query);
             }
-            Event::TimerDue(TimerId(0)) if self.told.ask_within.is_some() => {
-                self.actions.push(Action::Subscribe { on: true });
-            }
+            Event::TimerDue(SUBSCRIPTION) => self.actions.push(Action::Subscribe { on: true }),
             Event::TimerDue(timer) => self.look_into(timer),
             Event::Purged { object, group, ago } => self.purged(object, group, ago),
             Event::Probed { .. } | Event::Told { .. } => {}
@@ -232,19 +254,15 @@
 
     // What is known.
 
-    fn memory(&self, ratio: f64) -> Duration {
-        self.longest.mul_f64(ratio)
-    }
-
     fn listed(&mut self, scope: ListScope, hosts: Vec<Listing>) {
         if scope == ListScope::Failed {
             // Guards against a lost subscription: an old list counts as told. Asked again well within that time.
-            let span =
-                self.told.ask_within.unwrap_or(self.longest).mul_f64(0.1 + 0.1 * self.chance.rand_float());
-            return self.actions.push(Action::SetTimer { timer: TimerId(0), span });
+            let within = self.told.ask_within.unwrap_or(self.longest);
+            let span = within.mul_f64(ASK_AGAIN * (1.0 + self.chance.rand_float()));
+            return self.actions.push(Action::SetTimer { timer: SUBSCRIPTION, span });
         }
         if scope != ListScope::Changes {
-            self.hosts.retain(|id, _| hosts.iter().any(|l| l.host == *id));
+            self.hosts.retain(|id, _| hosts.iter().any(|listing| listing.host == *id));
         }
         for listing in hosts {
             let id = listing.host;
@@ -252,28 +270,19 @@
                 self.hosts.remove(&id);
                 continue;
             }
-            let fresh = self.hosts.get(&id).is_none_or(|h| h.listing.started != listing.started);
-            let host = self.hosts.entry(id).or_insert_with(|| Host {
-                listing: listing.clone(),
-                out: 0,
-                good: Decaying::default(),
-                bad: Decaying::default(),
-                asked: Decaying::default(),
-                carried: Decaying::default(),
-                answers_since_start: 0.0,
-                last_answer: Duration::ZERO,
-                next_trial: Duration::ZERO,
-            });
-            host.listing = listing;
-            if fresh {
-                (host.good, host.bad) = Default::default();
+            let known = self.hosts.remove(&id);
+            let restarted = known.as_ref().is_none_or(|host| host.listing.started != listing.started);
+            let mut host = known.unwrap_or_else(|| self.new_host(&listing));
+            if restarted {
+                (host.good, host.bad) = (self.health(), self.health());
                 host.answers_since_start = 0.0;
-                if !self.listed {
-                    // Guards against a restarted dispatcher spending a cold host's budget a second time.
-                    let budget = self.cold_budget(id).unwrap_or(0.0);
-                    let span = self.cold(id).span;
-                    self.hosts.get_mut(&id).unwrap().asked.add(self.now, span, budget);
-                }
+            }
+            host.listing = listing;
+            self.hosts.insert(id, host);
+            if !self.listed {
+                // Guards against a restarted dispatcher spending a cold host's budget a second time.
+                let (now, budget) = (self.now, self.cold_budget(id).unwrap_or(0.0));
+                self.hosts.entry(id).and_modify(|host| host.asked.add(now, budget));
             }
         }
         self.listed = true;
@@ -281,9 +290,8 @@
         let mut touched = Vec::new();
         for (id, open) in &mut self.open {
             let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
-            for leg in &mut open.legs {
-                let lost = !self.hosts.contains_key(&leg.plan.host);
-                if lost && redoable && !open.begun && leg.present == Present::Out {
+            for leg in open.legs.iter_mut().filter(|leg| leg.present == Present::Out) {
+                if redoable && !open.begun && !self.hosts.contains_key(&leg.plan.host) {
                     leg.wanted = false;
                     touched.push(*id);
                 }
@@ -292,23 +300,39 @@
         touched.into_iter().for_each(|id| self.emit(id));
     }
 
+    fn health(&self) -> Decaying {
+        Decaying::over(self.longest.mul_f64(HEALTH_MEMORY))
+    }
+
+    fn new_host(&self, listing: &Listing) -> Host {
+        let health = self.health();
+        let cache = listing.role == Role::Cache;
+        let cold = if cache { self.told.cold_cache } else { self.told.cold_parent };
+        Host {
+            listing: listing.clone(),
+            cold,
+            out: 0,
+            good: health,
+            bad: health,
+            asked: Decaying::over(cold.span),
+            carried: health,
+            answers_since_start: 0.0,
+            last_answer: Duration::ZERO,
+            next_trial: Duration::ZERO,
+        }
+    }
+
     fn purged(&mut self, object: Option<ObjectId>, group: GroupId, ago: Duration) {
         let at = self.now.saturating_sub(ago);
-        // Older copies can exist for the told time; twice that covers clocks and notices that lag.
-        let oldest = self.now.saturating_sub(self.told.purge_done * 2);
-        self.purged_objects.retain(|_, t| *t >= oldest);
-        self.purged_groups.retain(|_, t| *t >= oldest);
-        match object {
-            // A full table folds into groups: stricter than needed, never laxer.
-            Some(object) if self.purged_objects.len() < self.told.most_held => {
-                let t = self.purged_objects.entry(object).or_default();
-                *t = at.max(*t);
-            }
-            _ => {
-                let t = self.purged_groups.entry(group).or_default();
-                *t = at.max(*t);
-            }
-        }
+        let oldest = self.now.saturating_sub(self.told.purge_done * PURGE_KEPT);
+        self.purged_objects.retain(|_, purge| *purge >= oldest);
+        self.purged_groups.retain(|_, purge| *purge >= oldest);
+        // A full table folds into groups: stricter than needed, never laxer.
+        let purge = match object.filter(|_| self.purged_objects.len() < self.told.most_held) {
+            Some(object) => self.purged_objects.entry(object).or_default(),
+            None => self.purged_groups.entry(group).or_default(),
+        };
+        *purge = at.max(*purge);
     }
 
     /// The oldest copy that a purge leaves acceptable, while older ones can exist.
@@ -316,104 +340,82 @@
         let object = self.purged_objects.get(&query.object);
         let at = object.into_iter().chain(self.purged_groups.get(&query.group)).max()?;
         let age = self.now.saturating_sub(*at);
-        (age <= self.told.purge_done * 2).then(|| age.max(Duration::from_micros(1)))
+        (age <= self.told.purge_done * PURGE_KEPT).then(|| age.max(Duration::from_micros(1)))
     }
 
-    fn mean_work(&self, product: ProductId) -> f64 {
-        let (row, memory) = (&self.rows[product.0], self.memory(POPULARITY_MEMORY));
-        let legs = row.legs.read(self.now, memory);
-        match legs > 0.5 {
-            true => row.time.read(self.now, memory) / legs,
+    /// Sending time of a product: the mean, and what one of untold size takes at most in the ordinary case.
+    fn sending(&self, product: ProductId) -> (f64, f64) {
+        let row = &self.rows[product.0];
+        let [legs, time, squares] = row.sending.map(|sum| sum.read(self.now));
+        if legs < 0.5 {
             // Nothing seen yet: the share of the due time that its stretch leaves to sending.
-            false => row.told.due.as_secs_f64() / (1.0 + row.told.stretch),
+            let guess = row.told.due.as_secs_f64() / (1.0 + row.told.stretch);
+            return (guess, guess * (1.0 + LEG_DEVIATIONS));
         }
+        let mean = time / legs;
+        (mean, mean + LEG_DEVIATIONS * libm::sqrt((squares / legs - mean * mean).max(0.0)))
     }
 
-    /// What a leg of this product takes at most, in the ordinary case and with its size untold.
-    fn long_work(&self, product: ProductId) -> f64 {
-        let (row, memory) = (&self.rows[product.0], self.memory(POPULARITY_MEMORY));
-        let (legs, mean) = (row.legs.read(self.now, memory), self.mean_work(product));
-        let variance =
-            if legs > 0.5 { row.square.read(self.now, memory) / legs - mean * mean } else { mean * mean };
-        mean + LEG_DEVIATIONS * libm::sqrt(variance.max(0.0))
-    }
-
-    fn learn_work(&mut self, product: ProductId, seconds: f64) {
-        let (now, memory) = (self.now, self.memory(POPULARITY_MEMORY));
-        let row = &mut self.rows[product.0];
-        row.legs.add(now, memory, 1.0);
-        row.time.add(now, memory, seconds);
-        row.square.add(now, memory, seconds * seconds);
+    fn learn_sending(&mut self, product: ProductId, seconds: f64) {
+        let sums = self.rows[product.0].sending.iter_mut();
+        sums.zip([1.0, seconds, seconds * seconds]).for_each(|(sum, amount)| sum.add(self.now, amount));
     }
 
     // Hosts.
 
-    fn cold(&self, id: HostId) -> ColdStart {
-        match self.hosts[&id].listing.role {
-            Role::Cache => self.told.cold_cache,
-            _ => self.told.cold_parent,
-        }
-    }
-
     /// Share of its link that a host can surely give now; told figures only.
-    fn share(&self, id: HostId) -> f64 {
-        let (host, cold) = (&self.hosts[&id], self.cold(id));
-        let Some(started) = host.listing.started.filter(|_| host.listing.role != Role::Origin) else {
-            return 1.0;
-        };
-        let age = self.now.saturating_sub(started).as_secs_f64() / cold.ramp.as_secs_f64().max(1e-6);
-        (cold.share + (1.0 - cold.share) * age).min(1.0)
-    }
-
-    /// Transfers at full pace that a host's link fits: told, or the most that one of its role is seen to carry.
-    fn lanes(&self, id: HostId) -> f64 {
-        let host = &self.hosts[&id];
-        if self.told.weights == Weights::Link {
-            return host.listing.weight.max(1.0);
+    fn share(&self, host: &Host) -> f64 {
+        let cold = host.cold;
+        match host.listing.started {
+            Some(started) if host.listing.role != Role::Origin => {
+                let age = self.now.saturating_sub(started).as_secs_f64() / cold.ramp.as_secs_f64().max(1e-6);
+                (cold.share + (1.0 - cold.share) * age).min(1.0)
+            }
+            _ => 1.0,
         }
-        let memory = self.memory(HEALTH_MEMORY);
-        let alike = self.hosts.values().filter(|h| h.listing.role == host.listing.role);
-        let most = alike.map(|h| h.carried.read(self.now, memory) / memory.as_secs_f64()).fold(0.0, f64::max);
-        (most * self.seats(id) as f64).max(1.0)
     }
 
-    fn seats(&self, id: HostId) -> usize {
-        match self.hosts[&id].listing.role {
-            Role::Cache => self.told.seats.max(1),
-            _ => self.told.dispatchers.max(1),
+    /// Transfers at full pace that a host's link fits, for this dispatcher's part of its traffic: as told, or as
+    /// much as the host of its role that carries most is seen to carry.
+    fn lanes(&self, host: &Host) -> f64 {
+        let seats = if host.listing.role == Role::Cache { self.told.seats } else { self.told.dispatchers };
+        if self.told.weights == Weights::Link {
+            return host.listing.weight.max(1.0) / seats.max(1) as f64;
         }
+        let alike = self.hosts.values().filter(|other| other.listing.role == host.listing.role);
+        let least = 1.0 / seats.max(1) as f64;
+        alike.map(|other| other.carried.read(self.now) / other.carried.memory).fold(least, f64::max)
     }
 
     /// This dispatcher's part of what may be sent to a cold host within its span, in sending time.
     fn cold_budget(&self, id: HostId) -> Option<f64> {
-        let (share, cold) = (self.share(id), self.cold(id));
-        let whole = cold.multiple * share * self.lanes(id) * cold.span.as_secs_f64();
-        (share < 1.0).then(|| COLD_PART * whole / self.seats(id) as f64)
+        let host = &self.hosts[&id];
+        let (share, cold) = (self.share(host), host.cold);
+        let whole = cold.multiple * share * self.lanes(host) * cold.span.as_secs_f64();
+        (share < 1.0).then_some(COLD_PART * whole)
     }
 
-    fn affords(&self, id: HostId, work: f64) -> bool {
-        let asked = self.hosts[&id].asked.read(self.now, self.cold(id).span);
-        self.cold_budget(id).is_none_or(|budget| asked + work <= budget)
+    /// Guards cold hosts: within the budget, and at a fresh cache under a cap that grows with its answers.
+    fn bears(&self, id: HostId, work: f64) -> bool {
+        let host = &self.hosts[&id];
+        let Some(budget) = self.cold_budget(id) else { return true };
+        let cap = (host.cold.share * self.lanes(host)).max(1.0);
+        host.asked.read(self.now) + work <= budget
+            && (host.out as f64) < cap + FRESH_GAIN * host.answers_since_start
     }
 
     /// In flight over what the link carries at present, the leg to come included; all seats taken as alike.
     fn load(&self, id: HostId) -> f64 {
-        if self.told.weights != Weights::Link {
-            return 0.0;
-        }
-        (self.hosts[&id].out + 1) as f64 * self.seats(id) as f64 / (self.lanes(id) * self.share(id))
-    }
-
-    /// A fresh cache has a cap on what is in flight, which grows with its answers.
-    fn has_slot(&self, id: HostId) -> bool {
         let host = &self.hosts[&id];
-        let start = (self.cold(id).share * self.lanes(id) / self.seats(id) as f64).max(1.0);
-        self.share(id) >= 1.0 || (host.out as f64) < start + FRESH_GAIN * host.answers_since_start
+        match self.told.weights {
+            Weights::Link => (host.out + 1) as f64 / (self.lanes(host) * self.share(host)),
+            Weights::Unknown => 0.0,
+        }
     }
 
     fn sick(&self, id: HostId) -> bool {
-        let (host, memory) = (&self.hosts[&id], self.memory(HEALTH_MEMORY));
-        let (good, bad) = (host.good.read(self.now, memory), host.bad.read(self.now, memory));
+        let host = &self.hosts[&id];
+        let (good, bad) = (host.good.read(self.now), host.bad.read(self.now));
         bad >= SICK_FROM && bad >= SICK_SHARE * (good + bad)
     }
 
@@ -421,34 +423,34 @@
         !self.sick(id) || self.hosts[&id].next_trial <= self.now
     }
 
-    /// Drops avoided hosts, those due for a trial excepted. If most of them look bad the trouble may lie behind
-    /// them all, and none is shut out.
-    fn without_sick(&self, hosts: Vec<HostId>) -> Vec<HostId> {
-        let sick = hosts.iter().filter(|id| self.sick(**id)).count();
-        if sick * 2 > hosts.len() {
-            return hosts;
+    /// Books to a host's record; a good answer of an avoided host also clears a part of its failures.
+    fn mark(&mut self, id: HostId, good: f64, bad: f64) {
+        let now = self.now;
+        let cure = if good > 0.0 && self.hosts.contains_key(&id) && self.sick(id) { CURE } else { 0.0 };
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.good.add(now, good);
+            host.bad.add(now, bad - cure * host.bad.read(now));
         }
-        hosts.into_iter().filter(|id| self.well(*id)).collect()
     }
 
     /// Ready hosts of a role in the hash order of a part of an object; the same at every dispatcher.
     fn order(&self, role: Role, query: &Query) -> Vec<HostId> {
-        let score = |id: &HostId, host: &Host| {
+        let score = |host: &Host| {
             let mut key = [0u8; 20];
             key[..8].copy_from_slice(&query.object.0.to_be_bytes());
             key[8..12].copy_from_slice(&query.part.to_be_bytes());
-            key[12..].copy_from_slice(&id.0.to_be_bytes());
+            key[12..].copy_from_slice(&host.listing.host.0.to_be_bytes());
             let unit = ((xxhash_rust::xxh3::xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
             let weight = if self.told.weights == Weights::Link { host.listing.weight.max(1e-3) } else { 1.0 };
             -weight / libm::log(unit)
         };
-        let here = |host: &Host| {
+        let here = |host: &&Host| {
             host.listing.readiness == Readiness::Ready
                 && host.listing.role == role
                 && (role != Role::Cache || host.listing.location == self.told.location)
         };
         let mut hosts: Vec<_> =
-            self.hosts.iter().filter(|(_, h)| here(h)).map(|(id, h)| (score(id, h), *id)).collect();
+            self.hosts.values().filter(here).map(|h| (score(h), h.listing.host)).collect();
         hosts.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         hosts.into_iter().map(|(_, id)| id).collect()
     }
@@ -456,40 +458,36 @@
     // Queries.
 
     fn asked(&mut self, query: Query) {
-        let (now, memory) = (self.now, self.memory(POPULARITY_MEMORY));
-        let Some(row) = self.rows.get(query.product.0) else {
-            return self.actions.push(Action::Terminate { query: query.id });
-        };
-        let told_size = query.size_kb > 0.0 && self.told.stream_kb_per_s > 0.0;
-        let work = match told_size {
-            true => query.size_kb / self.told.stream_kb_per_s,
-            false => self.mean_work(query.product),
-        };
-        let due = now + row.told.due + Duration::from_secs_f64(row.told.stretch * work);
-        if told_size {
-            self.learn_work(query.product, work);
-        }
-        self.traffic.add(now, memory, 1.0);
+        let (now, product) = (self.now, query.product);
+        let (mean, long) = self.sending(product);
+        let sized = query.size_kb > 0.0 && self.told.stream_kb_per_s > 0.0;
+        let work = if sized { query.size_kb / self.told.stream_kb_per_s } else { mean };
+        if sized {
+            self.learn_sending(product, work);
+        }
+        self.traffic.add(now, 1.0);
         if self.seen.len() >= self.told.most_held {
-            self.seen.retain(|_, s| s.read(now, memory) > 1.0);
+            self.seen.retain(|_, seen| seen.read(now) > 1.0);
         }
         if self.seen.len() < self.told.most_held {
-            self.seen.entry((query.object, query.part)).or_default().add(now, memory, 1.0);
+            let new = Decaying::over(self.longest.mul_f64(POPULARITY_MEMORY));
+            self.seen.entry((query.object, query.part)).or_insert(new).add(now, 1.0);
         }
+        let told = &self.rows[product.0].told;
         let (id, ends) = (query.id, now + query.time_left);
+        let usual = if sized { work } else { long };
         let open = Open {
             query,
-            due: due.min(ends),
+            due: (now + told.due + Duration::from_secs_f64(told.stretch * work)).min(ends),
             ends,
             work,
+            ordinary: Duration::from_secs_f64(LEG_SENDING * usual) + told.due.mul_f64(LEG_FIXED),
             legs: Vec::new(),
             begun: false,
-            looked: false,
-            held_tried: false,
             failed: Vec::new(),
             suspects: None,
-            wanted_answer: None,
-            answered: false,
+            answer: None,
+            over: false,
         };
         self.open.insert(id, open);
         self.plan(id);
@@ -498,135 +496,120 @@
 
     /// May one more leg go to this host, given what earlier legs may have done?
     fn may_repeat(&self, open: &Open, host: HostId) -> bool {
-        let ran = |leg: &&LegState| !matches!(leg.present, Present::Over(o) if never_ran(o));
-        let mut maybe = open.legs.iter().filter(ran);
         match self.rows[open.query.product.0].told.effect {
             Effect::Redoable => true,
-            Effect::Irreversible => maybe.next().is_none(),
-            Effect::Labelled { scope, remembered } => maybe.all(|leg| {
-                let (Some(a), Some(b)) = (self.hosts.get(&leg.plan.host), self.hosts.get(&host)) else {
-                    return false;
+            Effect::Irreversible => open.maybe_ran().next().is_none(),
+            Effect::Labelled { scope, remembered } => open.maybe_ran().all(|leg| {
+                let listing = |id: &HostId| self.hosts.get(id).map(|host| &host.listing);
+                let alike = match (listing(&leg.plan.host), listing(&host), scope) {
+                    (_, _, LabelScope::All) => true,
+                    (Some(a), Some(b), LabelScope::Location) => a.location == b.location,
+                    (Some(a), Some(b), LabelScope::Cell) => a.cell == b.cell,
+                    _ => false,
                 };
                 // The remembered time is not used up to its end: a leg takes a while to arrive.
-                self.now < leg.sent + remembered.mul_f64(0.9)
-                    && match scope {
-                        LabelScope::All => true,
-                        LabelScope::Location => a.listing.location == b.listing.location,
-                        LabelScope::Cell => a.listing.cell == b.listing.cell,
-                    }
+                alike && self.now < leg.sent + remembered.mul_f64(REMEMBERED_PART)
             }),
         }
     }
 
-    /// Decides the next leg of a query that has none out, or its end.
+    /// Decides the next leg of a query that has none out, or its end: what is given up is answered at once.
     fn plan(&mut self, id: QueryId) {
         let Some(open) = self.open.get(&id) else { return };
-        let busy = open.legs.iter().any(|l| !matches!(l.present, Present::Over(_)));
-        if open.wanted_answer.is_some() || open.begun || busy {
+        let busy = open.legs.iter().any(|leg| !matches!(leg.present, Present::Over(_)));
+        if open.over || open.begun || busy {
             return;
         }
-        let leg = match open.legs.len() < self.told.leg_limit && self.now < open.ends {
-            true => self.next_leg(open),
-            false => None,
-        };
+        let allowed = open.legs.len() < self.told.leg_limit && self.now < open.ends;
+        let next = if allowed { self.next_leg(open) } else { None };
         let dismissible = match self.rows[open.query.product.0].told.effect {
-            Effect::Redoable => true,
-            Effect::Labelled { scope: LabelScope::All, .. } => true,
-            _ => open.legs.iter().all(|l| matches!(l.present, Present::Over(o) if never_ran(o))),
+            Effect::Redoable | Effect::Labelled { scope: LabelScope::All, .. } => true,
+            _ => open.maybe_ran().next().is_none(),
         };
-        let (now, ordinary) = (self.now, self.ordinary(open));
-        let open = self.open.get_mut(&id).unwrap();
-        match leg {
-            Some(plan) => {
-                let fresh = self.rows[open.query.product.0].told.fresh;
-                let held =
-                    plan.source == Source::None && (open.looked || plan.oldest.is_none_or(|o| o > fresh));
-                open.held_tried |= held;
-                open.looked |= plan.source == Source::None;
-                let present = Present::Unsent;
-                open.legs.push(LegState { plan, wanted: true, present, sent: now, ordinary });
+        let (sent, spread) = (self.now, LEAST_PAUSE + (1.0 - LEAST_PAUSE) * self.chance.rand_float());
+        let pause = self.told.longest_pause.map(|pause| pause.mul_f64(spread));
+        let open = self.open.get_mut(&id).expect("looked up above");
+        match next {
+            Some((aim, plan)) => {
+                open.legs.push(LegState { plan, aim, wanted: true, present: Present::Unsent, sent })
             }
-            None if dismissible => open.wanted_answer = Some(Answer::Dismissed),
-            None => open.wanted_answer = Some(Answer::Terminated),
+            None if dismissible => open.answer = Some(Action::Dismiss { query: id, pause }),
+            None => open.answer = Some(Action::Terminate { query: id }),
         }
     }
 
-    fn next_leg(&self, open: &Open) -> Option<Leg> {
+    fn next_leg(&self, open: &Open) -> Option<(Aim, Leg)> {
         let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
+        let graced = told.cacheable && told.grace > Duration::ZERO && open.had(Aim::Held) == 0;
         let last = open.legs.last();
-        let cap = self.purge_cap(query);
-        let failed = matches!(last, Some(l) if l.plan.source != Source::None);
-        let held = failed && told.cacheable && told.grace > Duration::ZERO && !open.held_tried;
-        let mut look = false;
-        let (host, source) = if held {
-            // The held-copy retry: same cache, which may hold one, unless it is what failed.
-            let same = last.map(|l| l.plan.host).filter(|h| !open.failed.contains(h) && self.usable(*h));
-            (same.or_else(|| Some(self.pick_cache(open)?.0))?, Source::None)
+        let failed = last.filter(|leg| leg.aim == Aim::Fetch);
+        let (host, source, aim) = if let Some(leg) = failed.filter(|_| graced) {
+            // The held-copy retry: the same cache, which may hold one, unless the cache is what failed.
+            let usable =
+                |id: &HostId| !open.failed.contains(id) && self.ready(*id) && self.bears(*id, open.work);
+            let same = Some(leg.plan.host).filter(usable);
+            (same.or_else(|| Some(self.pick_cache(open)?.0))?, None, Aim::Held)
         } else {
-            if open.legs.iter().filter(|l| l.plan.source != Source::None).count() >= FETCH_LEGS {
+            if open.had(Aim::Fetch) >= FETCH_LEGS {
                 return None;
             }
-            match self.pick_cache(open) {
-                // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a
-                // slow source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
-                Some((cache, true)) if told.cacheable => (cache, Source::None),
-                // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
-                Some((cache, _)) if told.cacheable && self.now < self.scarce_until => {
-                    look = !open.looked;
-                    let full = self.fills_out as f64 >= self.fill_limit;
-                    (cache, if look || full { Source::None } else { self.pick_source(open) })
-                }
-                Some((cache, _)) => (cache, self.pick_source(open)),
-                // Exception: with no cache of the location listed as ready, straight to where fills come from.
+            let (host, crowded) = match self.pick_cache(open) {
+                Some(pick) => pick,
+                // Exception: with no cache of the location ready, straight to where fills come from.
                 None if self.told.direct && self.order(Role::Cache, query).is_empty() => {
-                    let origin = self.order(Role::Origin, query).first().copied();
-                    match (self.pick_source(open), origin) {
-                        (Source::Host(host), Some(origin)) if host != origin => (host, Source::Host(origin)),
-                        (Source::Host(host), _) => (host, Source::Host(host)),
-                        (Source::None, _) => return None,
-                    }
+                    (self.pick_source(open)?, false)
                 }
                 None => return None,
+            };
+            // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
+            let scarce = told.cacheable && self.now < self.scarce_until;
+            let look = scarce && !crowded && open.had(Aim::Look) == 0;
+            let full = scarce && self.fills_out as f64 >= self.fill_limit;
+            // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a slow
+            // source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
+            let source = match look || full || crowded && told.cacheable {
+                true => None,
+                false => self.pick_source(open),
+            };
+            match source {
+                Some(source) if source == host => (host, None, Aim::Fetch),
+                Some(_) => (host, source, Aim::Fetch),
+                None if look => (host, None, Aim::Look),
+                // Nothing more is to be had from a second look.
+                None if !graced && open.legs.iter().any(|leg| leg.aim != Aim::Fetch) => return None,
+                None => (host, None, Aim::Held),
             }
         };
-        let held = source == Source::None && !look;
-        if !self.may_repeat(open, host) || held && (open.held_tried || !told.cacheable) {
+        if !self.may_repeat(open, host) || aim != Aim::Fetch && !told.cacheable {
             return None;
         }
-        let widest = told.fresh + if held { told.grace } else { Duration::ZERO };
-        let oldest = match (widest > Duration::ZERO, cap) {
-            (true, cap) => Some(cap.unwrap_or(widest).min(widest)),
-            (false, cap) => cap,
-        };
-        Some(Leg {
+        let widest = told.fresh + if aim == Aim::Held { told.grace } else { Duration::ZERO };
+        let cap = self.purge_cap(query);
+        let oldest =
+            if widest > Duration::ZERO { Some(cap.map_or(widest, |cap| cap.min(widest))) } else { cap };
+        let leg = Leg {
             host,
             source,
-            limit: self.leg_limit(open, held),
+            limit: self.leg_limit(open, aim),
             keep: if told.cacheable { Keep::Low } else { Keep::Not },
             oldest: oldest.filter(|_| told.cacheable),
-            join: self.told.joins && told.cacheable && !held,
+            join: self.told.joins && told.cacheable && aim == Aim::Fetch,
             held_at_source: false,
             unkept_at_parent: false,
-            renew: told.cacheable && told.fresh > Duration::ZERO && !held,
-        })
-    }
-
-    /// How long an ordinary leg takes, a fill included.
-    fn ordinary(&self, open: &Open) -> Duration {
-        let sized = open.query.size_kb > 0.0 && self.told.stream_kb_per_s > 0.0;
-        let work = if sized { open.work } else { self.long_work(open.query.product) };
-        Duration::from_secs_f64(LEG_SENDING * work)
-            + self.rows[open.query.product.0].told.due.mul_f64(LEG_FIXED)
+            renew: told.cacheable && told.fresh > Duration::ZERO && aim == Aim::Fetch,
+        };
+        Some((aim, leg))
     }
 
     /// A leg's time-out leaves room for a retry, but lets an ordinary leg finish. Where a held copy can serve
     /// the room is before the due time, else before the client gives up.
-    fn leg_limit(&self, open: &Open, held: bool) -> Option<Duration> {
+    fn leg_limit(&self, open: &Open, aim: Aim) -> Option<Duration> {
         let told = &self.rows[open.query.product.0].told;
         let room = Duration::from_secs_f64(RETRY_SENDING * open.work) + told.due.mul_f64(RETRY_FIXED);
-        let room = if held { Duration::ZERO } else { room };
-        let until = if told.grace > Duration::ZERO && !open.held_tried { open.due } else { open.ends };
-        let limit = until.saturating_sub(self.now + room).max(self.ordinary(open));
+        let retry = told.grace > Duration::ZERO && aim != Aim::Held && open.had(Aim::Held) == 0;
+        let until = if retry { open.due } else { open.ends };
+        let room = if aim == Aim::Held { Duration::ZERO } else { room };
+        let limit = until.saturating_sub(self.now + room).max(open.ordinary);
         (told.effect == Effect::Redoable).then(|| limit.min(open.ends.saturating_sub(self.now)))
     }
 
@@ -635,14 +618,13 @@
     /// a host with next to no traffic one slow leg looks like silence.
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.begun) else { return };
         let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
-        let Some(leg) = open.legs.get_mut(no.0 as usize).filter(|l| l.present == Present::Out) else {
-            return;
-        };
-        let silent = self.hosts.get(&leg.plan.host).is_some_and(|h| h.last_answer <= leg.sent);
-        if silent && redoable && self.told.cancel && !open.begun {
-            let host = leg.plan.host;
+        let out =
+            open.legs.get_mut(no).filter(|leg| leg.present == Present::Out && redoable && self.told.cancel);
+        let Some(leg) = out else { return };
+        let host = leg.plan.host;
+        if self.hosts.get(&host).is_some_and(|host| host.last_answer <= leg.sent) {
             leg.wanted = false;
             open.failed.push(host);
             self.mark(host, 0.0, 1.0);
@@ -650,42 +632,40 @@
         }
     }
 
-    fn usable(&self, id: HostId) -> bool {
-        self.hosts.get(&id).is_some_and(|h| h.listing.readiness == Readiness::Ready) && self.has_slot(id)
+    fn ready(&self, id: HostId) -> bool {
+        self.hosts.get(&id).is_some_and(|host| host.listing.readiness == Readiness::Ready)
     }
 
-    /// The cache for a leg, and whether it is too crowded for a fill.
+    /// The cache for a leg, and whether it is too crowded for a fill. Avoided caches are left out but for
+    /// trials; if most look bad the trouble may lie behind them all, and none is shut out.
     fn pick_cache(&self, open: &Open) -> Option<(HostId, bool)> {
-        let query = &open.query;
-        let mean = self.mean_work(query.product);
+        let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
+        let (mean, _) = self.sending(query.product);
         let order = self.order(Role::Cache, query);
-        let width = self.width(query, order.len());
-        let fits = |id: &HostId| self.affords(*id, mean) && self.has_slot(*id) && !open.failed.contains(id);
-        let near: Vec<_> = order.iter().take(width).copied().collect();
-        let usable: Vec<_> = self.without_sick(order).into_iter().filter(fits).collect();
-        let least = |ids: &mut dyn Iterator<Item = HostId>| {
-            ids.min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)))
-        };
-        let calm = |id: &HostId| self.load(*id) <= CALM_LOAD;
-        let first = least(&mut usable.iter().copied().filter(|id| near.contains(id)));
+        let shut = order.iter().filter(|id| self.sick(**id)).count() * 2 <= order.len();
+        let near = &order[..self.width(query, order.len()).min(order.len())];
+        let fits =
+            |id: &HostId| (!shut || self.well(*id)) && self.bears(*id, mean) && !open.failed.contains(id);
+        let usable: Vec<_> = order.iter().copied().filter(fits).collect();
+        let lighter = |a: &HostId, b: &HostId| self.load(*a).total_cmp(&self.load(*b));
+        let first = usable.iter().copied().filter(|id| near.contains(id)).min_by(lighter);
+        if let Some(calm) = first.filter(|id| self.load(*id) <= CALM_LOAD) {
+            return Some((calm, false));
+        }
         // Exception: a crowded cache passes the query on in hash order to one that is idle enough.
-        let idle = |id: &HostId| self.load(*id) <= CALM_LOAD * IDLE_PART;
-        let calm_one = first.filter(calm).or_else(|| usable.iter().copied().find(idle)).map(|id| (id, false));
-        calm_one.or_else(|| {
-            let told = &self.rows[query.product.0].told;
-            let memory = self.memory(HEALTH_MEMORY);
-            let (late, timely) = (self.late.read(self.now, memory), self.timely.read(self.now, memory));
-            let eased = (1.0 - LATE_WEIGHT * late / (late + timely + 1.0)).max(LEAST_CROWD);
-            let most = CROWD_PART * eased * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
-            first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
-        })
+        if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= CALM_LOAD * IDLE_PART) {
+            return Some((idle, false));
+        }
+        let (late, timely) = (self.late.read(self.now), self.timely.read(self.now));
+        let eased = (1.0 - LATE_WEIGHT * late / (late + timely + 1.0)).max(LEAST_CROWD);
+        let most = CROWD_PART * eased * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
+        first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
     }
 
     /// How many caches an object is spread over: two when this dispatcher sees it often, but never all.
     fn width(&self, query: &Query, caches: usize) -> usize {
-        let memory = self.memory(POPULARITY_MEMORY);
-        let seen = self.seen.get(&(query.object, query.part)).map_or(0.0, |s| s.read(self.now, memory));
-        let hot = seen > 1.5 && seen * caches as f64 >= HOT_SHARE * self.traffic.read(self.now, memory);
+        let seen = self.seen.get(&(query.object, query.part)).map_or(0.0, |seen| seen.read(self.now));
+        let hot = seen > 1.5 && seen * caches as f64 >= HOT_SHARE * self.traffic.read(self.now);
         if hot {
             HOT_WIDTH.min(caches.saturating_sub(1)).max(1)
         } else {
@@ -693,54 +673,41 @@
         }
     }
 
-    /// The first parent in hash order that can serve, else the origin, else only what the cache holds: while no
-    /// source fills, waiting fills would crowd the hits out of the caches and push the origin further down.
-    fn pick_source(&self, open: &Open) -> Source {
-        let mean = self.mean_work(open.query.product);
+    /// The first parent in hash order that can serve, else the origin. None while no source fills: waiting fills
+    /// would crowd the hits out of the caches and push the origin further down.
+    fn pick_source(&self, open: &Open) -> Option<HostId> {
+        let (mean, _) = self.sending(open.query.product);
         let mut sources = self.order(Role::Parent, &open.query);
         sources.extend(self.order(Role::Origin, &open.query));
-        let fits = |id: &HostId| self.well(*id) && self.affords(*id, mean) && !open.failed.contains(id);
-        sources.into_iter().find(fits).map_or(Source::None, Source::Host)
+        let fits = |id: &HostId| self.well(*id) && self.bears(*id, mean) && !open.failed.contains(id);
+        sources.into_iter().find(fits)
     }
 
     fn leg_ended(&mut self, end: LegEnd) {
         let Some(open) = self.open.get_mut(&end.query) else { return };
-        let Some(leg) = open.legs.get_mut(end.leg.0 as usize) else { return };
+        let Some(leg) = open.legs.get_mut(usize::from(end.leg.0)) else { return };
         if matches!(leg.present, Present::Over(_)) {
             return;
         }
         leg.present = Present::Over(end.outcome);
         let (plan, sent) = (leg.plan, leg.sent);
-        if end.over {
-            open.wanted_answer = Some(Answer::Given);
-            open.answered = true;
-        }
-        self.judge(&end, plan, sent);
+        open.over |= end.over;
+        let failed = self.judge(&end, plan, sent);
+        self.open.entry(end.query).and_modify(|open| open.failed.extend(failed));
         self.plan(end.query);
         self.emit(end.query);
     }
 
-    fn mark(&mut self, id: HostId, good: f64, bad: f64) {
-        let (now, memory) = (self.now, self.memory(HEALTH_MEMORY));
-        let cured = if good > 0.0 && self.hosts.contains_key(&id) && self.sick(id) { CURE } else { 0.0 };
-        if let Some(host) = self.hosts.get_mut(&id) {
-            host.good.add(now, memory, good);
-            let cured = cured * host.bad.read(now, memory);
-            host.bad.add(now, memory, bad - cured);
-        }
-    }
-
-    /// Books an outcome to the host or to the source, by what the answer says and by who has been silent.
-    fn judge(&mut self, end: &LegEnd, plan: Leg, sent: Duration) {
-        let (now, memory) = (self.now, self.memory(HEALTH_MEMORY));
-        let product = self.open[&end.query].query.product;
-        let source = match plan.source {
-            Source::Host(source) if source != plan.host => Some(source),
-            _ => None,
-        };
+    /// Books an outcome to the host or to the source, by what the answer says and by who has been silent, and
+    /// returns what this query should leave out from now on.
+    fn judge(&mut self, end: &LegEnd, plan: Leg, sent: Duration) -> Option<HostId> {
+        let now = self.now;
+        let open = self.open.get_mut(&end.query).expect("looked up by the caller");
+        let (product, in_time, sized) = (open.query.product, now <= open.due, open.query.size_kb > 0.0);
+        let suspects = open.suspects.take();
         let answered = matches!(end.outcome, Outcome::Succeeded | Outcome::Miss);
-        let mean = self.mean_work(product);
-        let in_time = now <= self.open[&end.query].due;
+        let untold = self.told.notes == Notes::None;
+        let (mean, _) = self.sending(product);
         let mut silent = true;
         if let Some(host) = self.hosts.get_mut(&plan.host) {
             host.out = host.out.saturating_sub(1);
@@ -748,10 +715,10 @@
             if answered {
                 host.last_answer = now;
                 host.answers_since_start += 1.0;
-                host.carried.add(now, memory, mean);
+                host.carried.add(now, mean);
             }
         }
-        if source.is_some() {
+        if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
                 Outcome::Succeeded => self.weigh_fill(in_time),
@@ -759,160 +726,120 @@
                 _ => {}
             }
         }
-        let sized = self.told.stream_kb_per_s > 0.0 && self.open[&end.query].query.size_kb > 0.0;
-        if end.outcome == Outcome::Succeeded && !sized {
-            self.learn_work(product, end.took.as_secs_f64());
+        if end.outcome == Outcome::Succeeded && !(sized && self.told.stream_kb_per_s > 0.0) {
+            self.learn_sending(product, end.took.as_secs_f64());
         }
         // A hit asked nothing of the source: its cold budget comes back, unless a renewal may have run behind.
-        if let (Some(source), Note::Hit, false) = (source, end.note, plan.renew) {
-            let span = self.hosts.get(&source).map(|_| self.cold(source).span);
-            if let (Some(span), Some(host)) = (span, self.hosts.get_mut(&source)) {
-                host.asked.add(now, span, -mean);
-            }
+        if let (Some(source), Note::Hit, false) = (plan.source, end.note, plan.renew) {
+            self.hosts.entry(source).and_modify(|host| host.asked.add(now, -mean));
         }
-        let suspects = self.open.get_mut(&end.query).and_then(|o| o.suspects.take());
-        if let Some((cache, suspect)) = suspects.filter(|(cache, _)| *cache == plan.host) {
+        if let Some((cache, source)) = suspects.filter(|(cache, _)| *cache == plan.host) {
             // The same cache with another source, or none, tells which of the two had failed.
-            let (cache_part, source_part) = if answered { (-0.5, 0.5) } else { (0.5, -0.5) };
-            self.mark(cache, 0.0, cache_part);
-            self.mark(suspect, 0.0, source_part);
-        }
-        let mut failed = Vec::new();
-        match (end.outcome, end.note) {
-            (Outcome::Succeeded, _) => {
-                self.mark(plan.host, 1.0, 0.0);
-                let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
-                let share = if self.told.notes == Notes::None { 0.3 } else { f64::from(u8::from(filled)) };
-                if let Some(source) = source.filter(|_| share > 0.0) {
-                    self.mark(source, share, 0.0);
-                    self.hosts.entry(source).and_modify(|h| h.last_answer = now);
-                }
-            }
-            (Outcome::Miss, _) => {
-                self.mark(plan.host, 1.0, 0.0);
-                failed.extend(source);
-            }
-            (Outcome::CalledOff | Outcome::NotSent, _) | (_, Note::NoPlace) => failed.push(plan.host),
+            let part = if answered { 0.5 } else { -0.5 };
+            self.mark(cache, 0.0, -part);
+            self.mark(source, 0.0, part);
+        }
+        // Where nothing tells hits from fills, a source's silence can't be known.
+        let mute = |id: HostId| untold || self.hosts.get(&id).is_some_and(|host| host.last_answer <= sent);
+        let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
+        let fill = if untold { UNTOLD_FILL } else { f64::from(u8::from(filled)) };
+        let (host, source) = (Some(plan.host), plan.source);
+        // Good and bad to the host, good and bad to the source, and what this query leaves out.
+        let (good, bad, source_good, source_bad, failed) = match (end.outcome, end.note) {
+            (Outcome::Succeeded, _) => (1.0, 0.0, fill, 0.0, None),
+            (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source),
+            (Outcome::CalledOff | Outcome::NotSent, _) | (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
             (_, Note::SourceRefused | Note::SourceUnreached | Note::SourceLacks | Note::OriginFailed) => {
-                self.mark(plan.host, 1.0, 0.0);
-                source.into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
-                failed.extend(source);
+                (1.0, 0.0, 0.0, 1.0, source)
             }
+            // The host answered others meanwhile: what was slow lies behind it, if that was silent too.
             (Outcome::TimedOut, _) if !silent => {
-                // The host answered others meanwhile: what was slow lies behind it, if that was silent too.
-                // Where nothing tells hits from fills that can't be known.
-                let untold = self.told.notes == Notes::None;
-                let mute = |s: &HostId| untold || self.hosts.get(s).is_some_and(|h| h.last_answer <= sent);
-                source.filter(mute).into_iter().for_each(|s| self.mark(s, 0.0, 1.0));
-                failed.extend(source);
+                (0.0, 0.0, 0.0, f64::from(u8::from(source.is_some_and(mute))), source)
             }
-            (Outcome::HostError | Outcome::TurnedAway, _)
-                if self.told.notes == Notes::None && source.is_some() =>
-            {
-                self.mark(plan.host, 0.0, 0.5);
-                source.into_iter().for_each(|s| self.mark(s, 0.0, 0.5));
-                failed.extend(source);
-                if let Some(open) = self.open.get_mut(&end.query) {
-                    open.suspects = source.map(|s| (plan.host, s));
-                }
-            }
-            _ => {
-                self.mark(plan.host, 0.0, 1.0);
-                failed.push(plan.host);
+            (Outcome::HostError | Outcome::TurnedAway, _) if untold && source.is_some() => {
+                self.open.entry(end.query).and_modify(|o| o.suspects = source.map(|s| (plan.host, s)));
+                (0.0, 0.5, 0.0, 0.5, source)
             }
+            _ => (0.0, 1.0, 0.0, 0.0, host),
+        };
+        self.mark(plan.host, good, bad);
+        if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
+            self.mark(source, source_good, source_bad);
+            let answered = if source_good > 0.0 { now } else { Duration::ZERO };
+            self.hosts.entry(source).and_modify(|host| host.last_answer = host.last_answer.max(answered));
         }
-        self.open.get_mut(&end.query).unwrap().failed.extend(failed);
+        failed
     }
 
     /// Guards against fills that crowd each other on a full link or at a slow source: when legs with a source
-    /// come late, their number is cut until those that are let through come in time.
+    /// come late, their number is cut until those that are let through come in time. Harm: a burst of answers
+    /// that are late for another cause costs some misses.
     fn weigh_fill(&mut self, in_time: bool) {
-        let (now, memory) = (self.now, self.memory(HEALTH_MEMORY));
-        let scarce = now < self.scarce_until;
+        let now = self.now;
         if in_time {
-            self.timely.add(now, memory, 1.0);
+            self.timely.add(now, 1.0);
             if self.fills_out as f64 + 1.0 >= FILL_USED * self.fill_limit {
                 self.fill_limit += 1.0 / self.fill_limit;
             }
             return;
         }
-        self.late.add(now, memory, 1.0);
-        let (late, timely) = (self.late.read(now, memory), self.timely.read(now, memory));
-        if scarce {
+        self.late.add(now, 1.0);
+        let (late, timely) = (self.late.read(now), self.timely.read(now));
+        if now < self.scarce_until {
             self.fill_limit = (self.fill_limit * FILL_CUT).max(1.0);
         } else if late >= SICK_FROM && late > SCARCE_SHARE * (late + timely) {
             self.fill_limit = (self.fills_out as f64 * SCARCE_START).max(1.0);
         } else {
             return;
         }
-        self.scarce_until = now + self.memory(SCARCE_HOLD);
+        self.scarce_until = now + self.longest.mul_f64(SCARCE_HOLD);
     }
 
     /// The only place where actions on queries come from: the difference between what is wanted and what is.
     fn emit(&mut self, id: QueryId) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let product = open.query.product;
-        let over = open.wanted_answer.is_some();
+        let answer = open.answer.take().filter(|_| !open.over);
+        open.over |= answer.is_some();
         let mut sent = Vec::new();
         for (no, leg) in open.legs.iter_mut().enumerate() {
             match leg.present {
-                Present::Unsent if leg.wanted && !over => {
+                Present::Unsent if leg.wanted && !open.over => {
                     leg.present = Present::Out;
                     sent.push(leg.plan);
                     self.actions.push(Action::Send { query: id, leg: leg.plan });
                     self.last_timer = self.last_timer.checked_add(1).unwrap_or(1);
                     let timer = TimerId(self.last_timer);
-                    self.timers.insert(timer, (id, LegNo(no as u16)));
-                    self.actions.push(Action::SetTimer { timer, span: leg.ordinary });
+                    self.timers.insert(timer, (id, no));
+                    self.actions.push(Action::SetTimer { timer, span: open.ordinary });
                 }
-                Present::Out if self.told.cancel && (over && !open.begun || !leg.wanted) => {
+                Present::Out if self.told.cancel && !open.begun && (open.over || !leg.wanted) => {
                     leg.present = Present::CalledOff;
                     self.actions.push(Action::CallOff { query: id, leg: LegNo(no as u16) });
                 }
                 _ => {}
             }
         }
-        if let (Some(answer), false) = (open.wanted_answer, open.answered) {
-            open.answered = true;
-            match answer {
-                Answer::Given => {}
-                Answer::Dismissed => {
-                    let spread = 0.5 + 0.5 * self.chance.rand_float();
-                    let pause = self.told.longest_pause.map(|p| p.mul_f64(spread));
-                    self.actions.push(Action::Dismiss { query: id, pause });
-                }
-                Answer::Terminated => self.actions.push(Action::Terminate { query: id }),
-            }
-        }
-        if open.answered && open.legs.iter().all(|l| matches!(l.present, Present::Over(_) | Present::Unsent))
-        {
+        self.actions.extend(answer);
+        let ended = |leg: &LegState| matches!(leg.present, Present::Over(_) | Present::Unsent);
+        if open.over && open.legs.iter().all(ended) {
             self.open.remove(&id);
         }
-        let mean = self.mean_work(product);
+        let (now, (mean, _)) = (self.now, self.sending(product));
         for plan in sent {
-            let source = if let Source::Host(s) = plan.source { Some(s) } else { None };
-            self.fills_out += usize::from(source.is_some_and(|s| s != plan.host));
-            for host in [Some(plan.host), source.filter(|s| *s != plan.host)].into_iter().flatten() {
-                self.book(host, mean, host == plan.host);
+            self.fills_out += usize::from(plan.source.is_some());
+            self.hosts.entry(plan.host).and_modify(|host| host.out += 1);
+            for id in [Some(plan.host), plan.source].into_iter().flatten() {
+                if !self.hosts.contains_key(&id) {
+                    continue;
+                }
+                let trial =
+                    if self.sick(id) { now + self.longest.mul_f64(TRIAL_PAUSE) } else { Duration::ZERO };
+                self.hosts.entry(id).and_modify(|host| {
+                    host.asked.add(now, mean);
+                    host.next_trial = host.next_trial.max(trial);
+                });
             }
         }
     }
-
-    fn book(&mut self, id: HostId, work: f64, as_host: bool) {
-        if !self.hosts.contains_key(&id) {
-            return;
-        }
-        let (now, span, trial) = (self.now, self.cold(id).span, self.memory(TRIAL_PAUSE));
-        let sick = self.sick(id);
-        let host = self.hosts.get_mut(&id).unwrap();
-        host.asked.add(now, span, work);
-        host.out += usize::from(as_host);
-        if sick {
-            host.next_trial = now + trial;
-        }
-    }
-}
-
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::TurnedAway | Outcome::NotConnected | Outcome::NotSent | Outcome::Miss)
 }
