--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -32,9 +32,6 @@
 const CALM_LOAD: f64 = 2.0;
 /// Part of that below which another cache counts as idle enough to take a query out of the hash order.
 const IDLE_PART: f64 = 0.5;
-/// How strongly late answers of late lower the crowding that is accepted, and how far at most.
-const LATE_WEIGHT: f64 = 2.0;
-const LEAST_CROWD: f64 = 0.2;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
 /// Share of late answers among legs with a source at which fills count as scarce; their number then starts at
@@ -656,9 +653,7 @@
         if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= CALM_LOAD * IDLE_PART) {
             return Some((idle, false));
         }
-        let (late, timely) = (self.late.read(self.now), self.timely.read(self.now));
-        let eased = (1.0 - LATE_WEIGHT * late / (late + timely + 1.0)).max(LEAST_CROWD);
-        let most = CROWD_PART * eased * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
+        let most = CROWD_PART * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
         first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
     }
 
