--- /dev/null
+++ b/crates/rockflow/tests/scenarios.rs
@@ -0,0 +1,333 @@
+//! Plays the text scenarios. A line is `facts`, `at TIME EVENT`, `expect ACTION` or `times N` .. `done`; `#`
+//! starts a comment. Every action of an event must be expected, in order, or dropped by `drop`; timers run by
+//! themselves. A host is a name (c cache, p parent, o origin, then a number), `$x` (bound when first seen,
+//! the same from then on), `!$x` (another one) or `any`; `%` in an id is the round of the loop.
+
+use rockflow::interface::*;
+use rockflow::Dispatcher;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+use test_case::test_case;
+
+const TIMES: [(&str, u64); 3] = [("us", 1), ("ms", 1_000), ("s", 1_000_000)];
+
+fn span(text: &str) -> Duration {
+    let unit = TIMES.iter().find(|(unit, _)| text.ends_with(unit) && !text.ends_with(&format!("m{unit}")));
+    let (unit, micros) = unit.or(TIMES.iter().find(|(unit, _)| text.ends_with(unit))).expect("a unit of time");
+    let number: f64 = text.trim_end_matches(unit).parse().unwrap_or_else(|_| panic!("no time: {text}"));
+    Duration::from_micros((number * *micros as f64) as u64)
+}
+
+fn host(name: &str) -> HostId {
+    let number: u64 = name[1..].parse().unwrap_or_else(|_| panic!("no host: {name}"));
+    HostId(u64::from(name.as_bytes()[0]) * 1000 + number)
+}
+
+fn words<'a>(line: &'a [&'a str]) -> impl Fn(&str) -> Option<&'a str> {
+    move |key| line.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn number(line: &[&str], key: &str, default: u64) -> u64 {
+    words(line)(key).map_or(default, |text| text.parse().unwrap_or_else(|_| panic!("no number: {key}")))
+}
+
+fn facts(line: &[&str]) -> Deployment {
+    let get = words(line);
+    let remembered = span(get("remembered").unwrap_or("5s"));
+    let labelled = |scope| Effect::Labelled { scope, remembered };
+    let effect = match get("effect").unwrap_or("redoable") {
+        "redoable" => Effect::Redoable,
+        "irreversible" => Effect::Irreversible,
+        "labelled-all" => labelled(LabelScope::All),
+        "labelled-location" => labelled(LabelScope::Location),
+        "labelled-cell" => labelled(LabelScope::Cell),
+        other => panic!("no effect: {other}"),
+    };
+    let product = |due: u64, outer_limit: u64, fresh: u64, grace: u64| Product {
+        effect,
+        due: Duration::from_millis(due),
+        stretch: 2.0,
+        outer_limit: Duration::from_secs(outer_limit),
+        payoff: 1.0,
+        late_payoff: 0.2,
+        fresh: Duration::from_secs(fresh),
+        grace: Duration::from_secs(grace),
+        cacheable: get("cacheable") != Some("no"),
+    };
+    let cold = |share: f64| ColdStart {
+        share,
+        ramp: Duration::from_secs(20),
+        multiple: 2.0,
+        span: Duration::from_secs(2),
+    };
+    Deployment {
+        location: LocationId(1),
+        seats: number(line, "seats", 1) as usize,
+        dispatchers: number(line, "dispatchers", 2) as usize,
+        products: vec![product(500, 5, 0, 0), product(300, 3, 10, 20)],
+        weights: if get("weights") == Some("unknown") { Weights::Unknown } else { Weights::Link },
+        cold_cache: cold(0.25),
+        cold_parent: cold(0.1),
+        purge_done: Duration::from_secs(6),
+        stream_kb_per_s: 1000.0,
+        notes: if get("notes") == Some("none") { Notes::None } else { Notes::All },
+        joins: true,
+        direct: get("direct") == Some("yes"),
+        second_copies: get("second") != Some("no"),
+        cancel: get("cancel") != Some("no"),
+        probes: false,
+        leg_limit: number(line, "legs", 8) as usize,
+        most_held: number(line, "held", 1000) as usize,
+        longest_pause: get("pause").map(span),
+        ask_within: get("ask").map(span),
+    }
+}
+
+fn listing(word: &str) -> Listing {
+    let (name, rest) = word.split_once(':').unwrap_or((word, ""));
+    let attributes: Vec<&str> = rest.split(',').collect();
+    let get = words(&attributes);
+    let readiness = match () {
+        _ if attributes.contains(&"draining") => Readiness::Draining,
+        _ if attributes.contains(&"gone") => Readiness::Gone,
+        _ => Readiness::Ready,
+    };
+    let role = match &name[..1] {
+        "c" => Role::Cache,
+        "p" => Role::Parent,
+        _ => Role::Origin,
+    };
+    Listing {
+        host: host(name),
+        cell: CellId(number(&attributes, "cell", 0) as u16),
+        location: LocationId(number(&attributes, "at", 1) as u16),
+        role,
+        readiness,
+        weight: number(&attributes, "weight", 10) as f64,
+        started: get("started").map(span),
+    }
+}
+
+fn outcome(word: &str) -> Option<Outcome> {
+    Some(match word {
+        "ok" => Outcome::Succeeded,
+        "error" => Outcome::HostError,
+        "away" => Outcome::TurnedAway,
+        "timeout" => Outcome::TimedOut,
+        "unreached" => Outcome::NotConnected,
+        "broken" => Outcome::Broken,
+        "off" => Outcome::CalledOff,
+        "unsent" => Outcome::NotSent,
+        "miss" => Outcome::Miss,
+        _ => return None,
+    })
+}
+
+fn note(word: &str) -> Option<Note> {
+    Some(match word {
+        "hit" => Note::Hit,
+        "filled" => Note::Filled,
+        "source-refused" => Note::SourceRefused,
+        "source-unreached" => Note::SourceUnreached,
+        "no-place" => Note::NoPlace,
+        "origin-failed" => Note::OriginFailed,
+        _ => return None,
+    })
+}
+
+#[derive(Default)]
+struct Player {
+    dispatcher: Option<Dispatcher>,
+    legs: BTreeMap<QueryId, Vec<HostId>>,
+    bound: BTreeMap<String, HostId>,
+    timers: Vec<(Duration, TimerId)>,
+    actions: VecDeque<Action>,
+}
+
+impl Player {
+    fn handle(&mut self, now: Duration, event: Event) {
+        for action in self.dispatcher.as_mut().expect("facts come first").handle(now, event) {
+            match action {
+                Action::SetTimer { timer, span } => self.timers.push((now + span, timer)),
+                Action::Send { query, leg } => {
+                    self.legs.entry(query).or_default().push(leg.host);
+                    self.actions.push_back(action);
+                }
+                other => self.actions.push_back(other),
+            }
+        }
+    }
+
+    fn pass(&mut self, until: Duration) {
+        self.timers.sort();
+        while let Some((at, timer)) = self.timers.first().copied().filter(|(at, _)| *at <= until) {
+            self.timers.remove(0);
+            self.handle(at, Event::TimerDue(timer));
+            self.timers.sort();
+        }
+    }
+
+    fn event(&self, line: &[&str]) -> Option<Event> {
+        let get = words(line);
+        let group = GroupId(number(line, "group", 0));
+        let query = QueryId(line.get(1).and_then(|word| word.strip_prefix('q')?.parse().ok()).unwrap_or(0));
+        let leg = LegNo(number(line, "leg", 0) as u16);
+        Some(match line[0] {
+            "pass" => return None,
+            "list" => {
+                let scope = match line[1] {
+                    "whole" => ListScope::Whole,
+                    "remembered" => ListScope::Remembered,
+                    "changes" => ListScope::Changes,
+                    _ => ListScope::Failed,
+                };
+                Event::Listed { scope, hosts: line[2..].iter().map(|word| listing(word)).collect() }
+            }
+            "ask" => Event::Asked(Query {
+                id: query,
+                product: ProductId(number(line, "product", 0) as usize),
+                object: ObjectId(number(line, "obj", 7)),
+                part: number(line, "part", 0) as u32,
+                group,
+                time_left: span(get("left").unwrap_or("5s")),
+                size_kb: number(line, "size", 100) as f64,
+            }),
+            "end" => Event::LegEnded(LegEnd {
+                query,
+                leg,
+                host: self.legs.get(&query).and_then(|legs| legs.get(leg.0 as usize)).copied().unwrap_or(HostId(0)),
+                outcome: line.iter().find_map(|word| outcome(word)).expect("an outcome"),
+                took: Duration::from_millis(50),
+                over: line.contains(&"over"),
+                note: line.iter().find_map(|word| note(word)).unwrap_or(Note::Untold),
+                fill_wait: Duration::ZERO,
+            }),
+            "left" => Event::ClientLeft(query),
+            "began" => Event::LegBegan { query, leg },
+            "timer" => Event::TimerDue(TimerId(number(line, "id", 0) as u32)),
+            "purge" => {
+                let object = get("obj").map(|text| ObjectId(text.parse().expect("an object")));
+                Event::Purged { object, group, ago: span(get("ago").unwrap_or("0ms")) }
+            }
+            other => panic!("no event: {other}"),
+        })
+    }
+
+    fn matches(&mut self, pattern: &str, found: HostId) -> bool {
+        if let Some(name) = pattern.strip_prefix("!$") {
+            return self.bound.get(name).is_some_and(|bound| *bound != found);
+        }
+        match pattern.strip_prefix('$') {
+            Some(name) => *self.bound.entry(name.to_string()).or_insert(found) == found,
+            None => pattern == "any" || host(pattern) == found,
+        }
+    }
+
+    fn expect(&mut self, line: &[&str]) -> Result<(), String> {
+        let action = self.actions.pop_front().ok_or("no action came")?;
+        let is = |query: QueryId| line.get(1).is_some_and(|word| *word == format!("q{}", query.0));
+        let as_told = match &action {
+            Action::Send { query, leg } if line[0] == "send" => {
+                let from = match (line.iter().position(|word| *word == "from"), leg.source) {
+                    (Some(at), Some(source)) => line[at + 1] != "own" && self.matches(line[at + 1], source),
+                    (Some(at), None) => line[at + 1] == "own",
+                    (None, _) => true,
+                };
+                let get = words(line);
+                let oldest = get("oldest").is_none_or(|text| match text {
+                    "any" => leg.oldest.is_none(),
+                    text => leg.oldest == Some(span(text)),
+                });
+                let under = get("under").is_none_or(|text| leg.limit.is_some_and(|limit| limit < span(text)));
+                let renew = get("renew").is_none_or(|text| leg.renew == (text == "yes"));
+                let keep = get("keep").is_none_or(|text| (leg.keep != Keep::Not) == (text == "yes"));
+                is(*query) && self.matches(line[2], leg.host) && from && oldest && under && renew && keep
+            }
+            Action::CallOff { query, leg } if line[0] == "off" => {
+                is(*query) && leg.0 as u64 == number(line, "leg", 0)
+            }
+            Action::Dismiss { query, pause } if line[0] == "dismiss" => {
+                is(*query) && pause.is_some() == line.contains(&"pause")
+            }
+            Action::Terminate { query } => line[0] == "terminate" && is(*query),
+            Action::Subscribe { on: true } => line[0] == "subscribe",
+            _ => false,
+        };
+        if as_told { Ok(()) } else { Err(format!("came: {action:?}")) }
+    }
+
+    fn play(&mut self, line: &[&str]) -> Result<(), String> {
+        match line[0] {
+            "facts" => {
+                let mut dispatcher = Dispatcher::new(facts(line), 1);
+                self.actions.extend(dispatcher.start());
+                self.dispatcher = Some(dispatcher);
+            }
+            "at" => {
+                let now = span(line[1]);
+                let before = self.actions.len();
+                self.pass(now);
+                if before > 0 {
+                    return Err(format!("not expected: {:?}", self.actions));
+                }
+                if let Some(event) = self.event(&line[2..]) {
+                    self.handle(now, event);
+                }
+            }
+            "expect" => self.expect(&line[1..])?,
+            "drop" => self.actions.clear(),
+            "forget" => self.bound.clear(),
+            other => return Err(format!("no such line: {other}")),
+        }
+        Ok(())
+    }
+}
+
+/// The lines with their numbers, loops unrolled.
+fn unroll(text: &str) -> Vec<(usize, String)> {
+    let (mut lines, mut round) = (Vec::new(), None);
+    for (at, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if let Some(times) = line.strip_prefix("times ") {
+            round = Some((times.parse::<usize>().expect("a number of rounds"), Vec::new()));
+        } else if line == "done" {
+            let (times, body) = round.take().expect("a loop to end");
+            for i in 0..times {
+                lines.extend(body.iter().map(|(at, line): &(usize, String)| (*at, line.replace('%', &i.to_string()))));
+            }
+        } else if !line.is_empty() {
+            let into = round.as_mut().map_or(&mut lines, |(_, body)| body);
+            into.push((at + 1, line.to_string()));
+        }
+    }
+    lines
+}
+
+#[test_case("ordinary")]
+#[test_case("held-copy")]
+#[test_case("sources")]
+#[test_case("purges")]
+#[test_case("drains")]
+#[test_case("cold")]
+#[test_case("effects")]
+#[test_case("silence")]
+#[test_case("avoided")]
+#[test_case("crowded")]
+#[test_case("scarce")]
+#[test_case("answers")]
+#[test_case("discovery")]
+#[test_case("oddities")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("a scenario");
+    for part in text.split("\n---\n") {
+        let mut player = Player::default();
+        for (at, line) in unroll(part) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            if let Err(why) = player.play(&words) {
+                panic!("{name}, in the part that starts {:?}, line {at} ({line}): {why}", part.lines().next());
+            }
+        }
+        assert!(player.actions.is_empty(), "{name}: left over: {:?}", player.actions);
+    }
+}
