--- /dev/null
+++ b/crates/rockflow-benchlink/tests/frames.rs
@@ -0,0 +1,110 @@
+//! Frames in, frames out, and what is said of bad ones.
+
+use rockflow_benchlink::run;
+use test_case::test_case;
+
+const SETTINGS: &str = "az=1\ndcs=hub,edge\ndiscovery=pushed\nmodels=box,parent,origin\npeersTotal=1\n\
+    familyInfo.midKind=1\nfamilyInfo.rootKind=2\nfamilyInfo.seatsByZone=0,1\nfamilyInfo.lifetimeByClassUs=0\n\
+    familyInfo.staleForUs=0\nfamilyInfo.uncached=false\nfamilyInfo.noteLevel=all\nfamilyInfo.sharesFills=true\n\
+    familyInfo.straight=false\nfamilyInfo.streamKbPerS=1000.0\nfamilyInfo.purgeDoneUs=6000000\n\
+    familyInfo.upperColdFrom=0.1\nfamilyInfo.parentColdUs=20000000\nfamilyInfo.parentFallMultiple=2.0\n\
+    grades.count=1\ngrades.0.repeat=idempotent\ngrades.0.objectiveUs=500000\ngrades.0.deadlineUs=5000000\n\
+    grades.0.importance=1.0\ngrades.0.lateValue=0.2\nlimits.secondCopies=true\nlimits.cancel=true\n\
+    limits.probes=false\nlimits.tryLimit=6\nlimits.mostHeld=1000\nlimits.retryAfter=false\nweights=nominal\n\
+    rules.startCapacity=0.25\nrules.rampTimeUs=9000000\nrules.fallMultiple=2.0\nrules.tipAfterUs=2000000\nnew.key=1\n";
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(|byte| !byte.is_ascii_whitespace()).collect();
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+    digits.chunks(2).map(byte).collect()
+}
+
+fn frame(number: u32, records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records.concat();
+    let fields = [number, records.len() as u32, body.len() as u32 + 8];
+    let header = fields.iter().flat_map(|field| field.to_be_bytes());
+    header.chain(1_000_000u64.to_be_bytes()).chain(body).collect()
+}
+
+fn create(settings: &str) -> Vec<u8> {
+    let mut record = hex("0108 0000000000000001");
+    record.extend_from_slice(&(settings.len() as u32).to_be_bytes());
+    record.extend_from_slice(settings.as_bytes());
+    record
+}
+
+fn play(input: &[u8]) -> (Result<(), String>, Vec<u8>) {
+    let mut output = Vec::new();
+    let result = run(input, &mut output);
+    (result, output)
+}
+
+const INSTANCE: &str = "0101 00000003";
+const CACHE: &str = "0104 00 00000001 0000 0a124a07 1b5b 0001 01 3f800000 0000000000000000 00";
+const LISTED: &str = "0100 01 00000029 00";
+const QUERY: &str = "0102 000fa47d5d3a91c4 00 0000 0000007c55d20a01 0003a980 44200000 41300000 40400000 0001";
+const RETIRED: &str = "010a";
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    let (result, output) = play(&hex("00000001 00000000 00000008 0000000000805c5a"));
+    assert_eq!((result, output), (Ok(()), hex("00000001 00000000 00000000")));
+}
+
+#[test]
+fn a_query_becomes_a_leg_that_reads_through() {
+    let batch = frame(7, &[hex(INSTANCE), create(SETTINGS), hex(CACHE), hex(LISTED), hex(QUERY)]);
+    let (result, output) = play(&batch);
+    assert_eq!(result, Ok(()));
+    // With neither parent nor origin listed the cache itself is named as the source: held copies only.
+    let leg = "014c 000fa47d5d3a91c4 0a124a07 1b5b 0003a980 0a124a07 1b5b 01 00000000 00";
+    assert_eq!(output[..12], hex("00000007 00000003 00000030"));
+    assert_eq!(output[12..18], hex("014d 00000003"));
+    assert_eq!(output[18..50], hex(leg)[..]);
+    assert_eq!(output[50..52], hex("0144")[..], "a timer follows");
+}
+
+#[test]
+fn what_an_instance_said_before_its_end_is_void() {
+    let first = [
+        hex(INSTANCE),
+        create(SETTINGS),
+        hex(CACHE),
+        hex(LISTED),
+        hex(QUERY),
+        hex(RETIRED),
+        create(SETTINGS),
+    ];
+    let (result, output) = play(&frame(1, &first));
+    assert_eq!((result, output), (Ok(()), hex("00000001 00000000 00000000")));
+}
+
+#[test_case("peersTotal=1\n", "settings: peersTotal is missing"; "missing")]
+#[test_case("limits.tryLimit=6", "settings: limits.tryLimit does not parse"; "malformed")]
+fn a_bad_key_ends_the_instance_alone(key: &str, said: &str) {
+    let with = if said.contains("missing") { "" } else { "limits.tryLimit=six" };
+    let batch =
+        frame(1, &[hex(INSTANCE), create(&SETTINGS.replace(key, with)), hex(CACHE), hex(LISTED), hex(QUERY)]);
+    let (result, output) = play(&batch);
+    assert_eq!(result, Ok(()));
+    assert_eq!(output[18..20], hex("0149")[..]);
+    assert_eq!(&output[22..], said.as_bytes());
+}
+
+#[test_case(&hex("00000001 0000"), "frame cut short at byte 6"; "header cut")]
+#[test_case(&hex("00000001 00000000 00000009 0000000000805c5a"), "frame cut short at byte 20"; "body cut")]
+#[test_case(&hex("00000001 00000000 00000002 0000000000805c5a"), "length 2 does not hold the clock at byte 8"; "no clock")]
+#[test_case(&frame(1, &[hex(INSTANCE), hex("0999")]), "unknown event code 2457 at byte 26"; "code")]
+#[test_case(&frame(1, &[hex("0101 0000")]), "record runs past the end of its frame at byte 22"; "record cut")]
+#[test_case(&frame(1, &[hex("0104 00 ffffffff")]), "record runs past the end of its frame at byte 27"; "count")]
+#[test_case(&frame(1, &[hex("0104 10 00000000")]), "list number 16 is over 15 at byte 22"; "list number")]
+#[test_case(&frame(1, &[hex(INSTANCE), create(SETTINGS), hex(LISTED)]), "list 0 was never sent"; "no such list")]
+#[test_case(&frame(1, &[hex(INSTANCE), create(SETTINGS), hex(&QUERY.replacen("c4 00", "c4 05", 1))]), "class 5 is not"; "class")]
+#[test_case(&frame(1, &[hex(QUERY)]), "event 258 before any instance was named at byte 20"; "no instance")]
+#[test_case(&frame(1, &[hex(INSTANCE), hex(QUERY)]), "event 258 for instance 3 that does not run"; "not running")]
+fn bad_input_ends_with_what_and_where(input: &[u8], said: &str) {
+    let (result, _) = play(input);
+    let what = result.expect_err("bad input");
+    assert!(what.starts_with(said), "{what}");
+    assert!(!what.contains('\n'));
+}
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -241,6 +241,7 @@
                 self.open.entry(query).and_modify(|open| open.over = true);
                 self.emit(query);
             }
+            Event::TimerDue(SUBSCRIPTION) if self.told.ask_within.is_none() => {}
             Event::TimerDue(SUBSCRIPTION) => self.actions.push(Action::Subscribe { on: true }),
             Event::TimerDue(timer) => self.look_into(timer),
             Event::Purged { object, group, ago } => self.purged(object, group, ago),
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -13,7 +13,8 @@
 
 fn span(text: &str) -> Duration {
     let unit = TIMES.iter().find(|(unit, _)| text.ends_with(unit) && !text.ends_with(&format!("m{unit}")));
-    let (unit, micros) = unit.or(TIMES.iter().find(|(unit, _)| text.ends_with(unit))).expect("a unit of time");
+    let (unit, micros) =
+        unit.or(TIMES.iter().find(|(unit, _)| text.ends_with(unit))).expect("a unit of time");
     let number: f64 = text.trim_end_matches(unit).parse().unwrap_or_else(|_| panic!("no time: {text}"));
     Duration::from_micros((number * *micros as f64) as u64)
 }
@@ -195,7 +196,12 @@
             "end" => Event::LegEnded(LegEnd {
                 query,
                 leg,
-                host: self.legs.get(&query).and_then(|legs| legs.get(leg.0 as usize)).copied().unwrap_or(HostId(0)),
+                host: self
+                    .legs
+                    .get(&query)
+                    .and_then(|legs| legs.get(leg.0 as usize))
+                    .copied()
+                    .unwrap_or(HostId(0)),
                 outcome: line.iter().find_map(|word| outcome(word)).expect("an outcome"),
                 took: Duration::from_millis(50),
                 over: line.contains(&"over"),
@@ -253,7 +259,11 @@
             Action::Subscribe { on: true } => line[0] == "subscribe",
             _ => false,
         };
-        if as_told { Ok(()) } else { Err(format!("came: {action:?}")) }
+        if as_told {
+            Ok(())
+        } else {
+            Err(format!("came: {action:?}"))
+        }
     }
 
     fn play(&mut self, line: &[&str]) -> Result<(), String> {
@@ -293,7 +303,9 @@
         } else if line == "done" {
             let (times, body) = round.take().expect("a loop to end");
             for i in 0..times {
-                lines.extend(body.iter().map(|(at, line): &(usize, String)| (*at, line.replace('%', &i.to_string()))));
+                lines.extend(
+                    body.iter().map(|(at, line): &(usize, String)| (*at, line.replace('%', &i.to_string()))),
+                );
             }
         } else if !line.is_empty() {
             let into = round.as_mut().map_or(&mut lines, |(_, body)| body);
@@ -325,7 +337,10 @@
         for (at, line) in unroll(part) {
             let words: Vec<&str> = line.split_whitespace().collect();
             if let Err(why) = player.play(&words) {
-                panic!("{name}, in the part that starts {:?}, line {at} ({line}): {why}", part.lines().next());
+                panic!(
+                    "{name}, in the part that starts {:?}, line {at} ({line}): {why}",
+                    part.lines().next()
+                );
             }
         }
         assert!(player.actions.is_empty(), "{name}: left over: {:?}", player.actions);
