Keep what is asked for again at a higher rank

Guards against any flood of one-off objects. Harm: what was wanted twice lately outlives its use until others of its rank push it out.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -589,7 +589,11 @@
             host,
             source,
             limit: self.leg_limit(open, aim),
-            keep: if told.cacheable { Keep::Low } else { Keep::Not },
+            keep: match self.seen.get(&(query.object, query.part)).map(|seen| seen.read(self.now) > 1.2) {
+                _ if !told.cacheable => Keep::Not,
+                Some(true) => Keep::Middle,
+                _ => Keep::Low,
+            },
             oldest: oldest.filter(|_| told.cacheable),
             join: self.told.joins && told.cacheable && aim == Aim::Fetch,
             held_at_source: false,
