Blame one mute source, not all fills; try bad hosts the more rarely the worse they are

Symptom: a third of the queries refused, nothing on the list. Cause: three of five hub caches took fills and answered none; each dispatcher's trials of them took a large part of its few fills, and their time-outs cut the fill limit for the good ones. Told apart from a slow catalogue by the other two parents filling in 30 to 100 ms meanwhile.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -20,7 +20,7 @@
 /// A host is avoided from this many recent failures on, if they are this share of its answers.
 const SICK_FROM: f64 = 2.0;
 const SICK_SHARE: f64 = 0.25;
-/// Pause between trials of an avoided host, over the longest outer limit.
+/// Pause between trials of an avoided host, over the longest outer limit, for each recent failure.
 const TRIAL_PAUSE: f64 = 0.05;
 /// Part of an avoided host's failures that one good answer clears.
 const CURE: f64 = 0.3;
@@ -616,8 +616,9 @@
     }
 
     /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
-    /// answered nothing since is called off and planned anew. Slow but answering hosts are left alone. Harm: on
-    /// a host with next to no traffic one slow leg looks like silence.
+    /// answered nothing since is called off and planned anew; so is one whose source has filled nothing since and
+    /// failed before. Slow but answering hosts are left alone. Harm: on a host with next to no traffic one slow
+    /// leg looks like silence.
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.begun) else { return };
@@ -626,10 +627,13 @@
             open.legs.get_mut(no).filter(|leg| leg.present == Present::Out && redoable && self.told.cancel);
         let Some(leg) = out else { return };
         let host = leg.plan.host;
-        if self.hosts.get(&host).is_some_and(|host| host.last_answer <= leg.sent) {
+        let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
+        let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
+        let stuck = leg.plan.source.filter(|id| mute(id) && failing(id));
+        if let Some(culprit) = Some(host).filter(mute).or(stuck) {
             leg.wanted = false;
-            open.failed.push(host);
-            self.mark(host, 0.0, 1.0);
+            open.failed.push(culprit);
+            self.mark(culprit, 0.0, 1.0);
             self.emit(id);
         }
     }
@@ -718,11 +722,14 @@
                 host.carried.add(now, mean);
             }
         }
+        let other = |host: &Host| Some(host.listing.host) != plan.source && host.listing.role != Role::Cache;
+        let others = self.hosts.values().any(|host| other(host) && host.last_answer > sent);
         if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
                 Outcome::Succeeded => self.weigh_fill(in_time),
-                Outcome::TimedOut if !silent => self.weigh_fill(false),
+                // One slow source among others that answer is its own trouble, not a want of fills.
+                Outcome::TimedOut if !silent && !others => self.weigh_fill(false),
                 _ => {}
             }
         }
@@ -748,7 +755,8 @@
         let (good, bad, source_good, source_bad, failed) = match (end.outcome, end.note) {
             (Outcome::Succeeded, _) => (1.0, 0.0, fill, 0.0, None),
             (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source),
-            (Outcome::CalledOff | Outcome::NotSent, _) | (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
+            (Outcome::CalledOff, _) => (0.0, 0.0, 0.0, 0.0, None),
+            (Outcome::NotSent, _) | (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
             (_, Note::SourceRefused | Note::SourceUnreached | Note::SourceLacks | Note::OriginFailed) => {
                 (1.0, 0.0, 0.0, 1.0, source)
             }
@@ -833,11 +841,13 @@
                 if !self.hosts.contains_key(&id) {
                     continue;
                 }
-                let trial =
-                    if self.sick(id) { now + self.longest.mul_f64(TRIAL_PAUSE) } else { Duration::ZERO };
+                // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
+                let bad = self.hosts[&id].bad.read(now);
+                let pause =
+                    if self.sick(id) { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
                 self.hosts.entry(id).and_modify(|host| {
                     host.asked.add(now, mean);
-                    host.next_trial = host.next_trial.max(trial);
+                    host.next_trial = host.next_trial.max(now + pause);
                 });
             }
         }
