--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -842,9 +842,12 @@
                     continue;
                 }
                 // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
-                let bad = self.hosts[&id].bad.read(now);
-                let pause =
-                    if self.sick(id) { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
+                // If all of them fail the trouble lies behind, and they share the trials.
+                let (role, sick) = (self.hosts[&id].listing.role, self.sick(id));
+                let alone =
+                    sick && self.hosts.values().any(|h| h.listing.role == role && !self.sick(h.listing.host));
+                let bad = if alone { self.hosts[&id].bad.read(now) } else { 1.0 };
+                let pause = if sick { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
                 self.hosts.entry(id).and_modify(|host| {
                     host.asked.add(now, mean);
                     host.next_trial = host.next_trial.max(now + pause);
