--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -629,7 +629,7 @@
         let host = leg.plan.host;
         let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
         let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
-        let stuck = leg.plan.source.filter(|id| mute(id) && failing(id));
+        let stuck = leg.plan.source.filter(|id| self.told.notes != Notes::None && mute(id) && failing(id));
         if let Some(culprit) = Some(host).filter(mute).or(stuck) {
             leg.wanted = false;
             open.failed.push(culprit);
@@ -723,7 +723,7 @@
             }
         }
         let other = |host: &Host| Some(host.listing.host) != plan.source && host.listing.role != Role::Cache;
-        let others = self.hosts.values().any(|host| other(host) && host.last_answer > sent);
+        let others = !untold && self.hosts.values().any(|host| other(host) && host.last_answer > sent);
         if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
@@ -842,12 +842,9 @@
                     continue;
                 }
                 // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
-                // If all of them fail the trouble lies behind, and they share the trials.
-                let (role, sick) = (self.hosts[&id].listing.role, self.sick(id));
-                let alone =
-                    sick && self.hosts.values().any(|h| h.listing.role == role && !self.sick(h.listing.host));
-                let bad = if alone { self.hosts[&id].bad.read(now) } else { 1.0 };
-                let pause = if sick { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
+                let bad = self.hosts[&id].bad.read(now);
+                let pause =
+                    if self.sick(id) { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
                 self.hosts.entry(id).and_modify(|host| {
                     host.asked.add(now, mean);
                     host.next_trial = host.next_trial.max(now + pause);
