--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -143,6 +143,8 @@
     ordinary: Duration,
     legs: Vec<LegState>,
     begun: bool,
+    /// A miss was told of while a fill of it was under way, which the next leg can join.
+    under_way: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
     /// A cache and a source of which one has failed, until the next leg tells which.
@@ -482,6 +484,7 @@
             ordinary: Duration::from_secs_f64(LEG_SENDING * usual) + told.due.mul_f64(LEG_FIXED),
             legs: Vec::new(),
             begun: false,
+            under_way: false,
             failed: Vec::new(),
             suspects: None,
             answer: None,
@@ -562,7 +565,10 @@
             // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
             let scarce = told.cacheable && self.now < self.scarce_until;
             let look = scarce && !crowded && open.had(Aim::Look) == 0;
-            let full = scarce && self.fills_out as f64 >= self.fill_limit;
+            let again =
+                self.seen.get(&(query.object, query.part)).is_some_and(|seen| seen.read(self.now) > 1.2);
+            let limit = if again { self.fill_limit } else { self.fill_limit * 0.5 };
+            let full = scarce && !open.under_way && self.fills_out as f64 >= limit;
             // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a slow
             // source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
             let source = match look || full || crowded && told.cacheable {
@@ -696,6 +702,7 @@
         leg.present = Present::Over(end.outcome);
         let (plan, sent) = (leg.plan, leg.sent);
         open.over |= end.over;
+        open.under_way = self.told.joins && end.outcome == Outcome::Miss && end.note == Note::Joined;
         let failed = self.judge(&end, plan, sent);
         self.open.entry(end.query).and_modify(|open| open.failed.extend(failed));
         self.plan(end.query);
