--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -143,8 +143,6 @@
     ordinary: Duration,
     legs: Vec<LegState>,
     begun: bool,
-    /// A miss was told of while a fill of it was under way, which the next leg can join.
-    under_way: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
     /// A cache and a source of which one has failed, until the next leg tells which.
@@ -484,7 +482,6 @@
             ordinary: Duration::from_secs_f64(LEG_SENDING * usual) + told.due.mul_f64(LEG_FIXED),
             legs: Vec::new(),
             begun: false,
-            under_way: false,
             failed: Vec::new(),
             suspects: None,
             answer: None,
@@ -565,10 +562,7 @@
             // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
             let scarce = told.cacheable && self.now < self.scarce_until;
             let look = scarce && !crowded && open.had(Aim::Look) == 0;
-            let again =
-                self.seen.get(&(query.object, query.part)).is_some_and(|seen| seen.read(self.now) > 1.2);
-            let limit = if again { self.fill_limit } else { self.fill_limit * 0.5 };
-            let full = scarce && !open.under_way && self.fills_out as f64 >= limit;
+            let full = scarce && self.fills_out as f64 >= self.fill_limit;
             // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a slow
             // source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
             let source = match look || full || crowded && told.cacheable {
@@ -622,26 +616,32 @@
     }
 
     /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
-    /// answered nothing since is called off and planned anew; so is one whose source has filled nothing since and
-    /// failed before. Slow but answering hosts are left alone. Harm: on a host with next to no traffic one slow
+    /// answered nothing since is called off and planned anew; so is one whose source failed before and has filled
+    /// nothing since, while others have. Slow but answering hosts are left alone. Harm: on a host with next to no traffic one slow
     /// leg looks like silence.
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
-        let Some(open) = self.open.get_mut(&id).filter(|open| !open.begun) else { return };
+        let Some(open) = self.open.get(&id).filter(|open| !open.begun) else { return };
         let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
-        let out =
-            open.legs.get_mut(no).filter(|leg| leg.present == Present::Out && redoable && self.told.cancel);
-        let Some(leg) = out else { return };
-        let host = leg.plan.host;
+        let Some(leg) = open.legs.get(no).filter(|leg| leg.present == Present::Out) else { return };
         let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
         let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
-        let stuck = leg.plan.source.filter(|id| self.told.notes != Notes::None && mute(id) && failing(id));
-        if let Some(culprit) = Some(host).filter(mute).or(stuck) {
-            leg.wanted = false;
-            open.failed.push(culprit);
-            self.mark(culprit, 0.0, 1.0);
-            self.emit(id);
-        }
+        let others = self.others_fill(leg.plan.source, leg.sent);
+        let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
+        let culprit = Some(leg.plan.host).filter(mute).or(stuck);
+        let Some(culprit) = culprit.filter(|_| redoable && self.told.cancel) else { return };
+        self.mark(culprit, 0.0, 1.0);
+        let open = self.open.get_mut(&id).expect("looked up above");
+        open.legs[no].wanted = false;
+        open.failed.push(culprit);
+        self.emit(id);
+    }
+
+    /// Whether another source is known to have filled since: then one that has not is itself in trouble.
+    fn others_fill(&self, source: Option<HostId>, since: Duration) -> bool {
+        let other = |host: &Host| host.listing.role != Role::Cache && Some(host.listing.host) != source;
+        let filled = |host: &Host| other(host) && host.last_answer > since;
+        self.told.notes != Notes::None && self.hosts.values().any(filled)
     }
 
     fn ready(&self, id: HostId) -> bool {
@@ -683,13 +683,21 @@
         }
     }
 
+    /// If all parents look bad the trouble may lie behind them: none is shut out, but fills are scarce.
+    fn shared_trouble(&self) -> bool {
+        let well = |host: &Host| host.listing.role == Role::Parent && !self.sick(host.listing.host);
+        !self.hosts.values().any(well)
+    }
+
     /// The first parent in hash order that can serve, else the origin. None while no source fills: waiting fills
     /// would crowd the hits out of the caches and push the origin further down.
     fn pick_source(&self, open: &Open) -> Option<HostId> {
         let (mean, _) = self.sending(open.query.product);
         let mut sources = self.order(Role::Parent, &open.query);
         sources.extend(self.order(Role::Origin, &open.query));
-        let fits = |id: &HostId| self.well(*id) && self.bears(*id, mean) && !open.failed.contains(id);
+        let shared = self.shared_trouble();
+        let fits =
+            |id: &HostId| (shared || self.well(*id)) && self.bears(*id, mean) && !open.failed.contains(id);
         sources.into_iter().find(fits)
     }
 
@@ -702,7 +710,6 @@
         leg.present = Present::Over(end.outcome);
         let (plan, sent) = (leg.plan, leg.sent);
         open.over |= end.over;
-        open.under_way = self.told.joins && end.outcome == Outcome::Miss && end.note == Note::Joined;
         let failed = self.judge(&end, plan, sent);
         self.open.entry(end.query).and_modify(|open| open.failed.extend(failed));
         self.plan(end.query);
@@ -729,8 +736,7 @@
                 host.carried.add(now, mean);
             }
         }
-        let other = |host: &Host| Some(host.listing.host) != plan.source && host.listing.role != Role::Cache;
-        let others = !untold && self.hosts.values().any(|host| other(host) && host.last_answer > sent);
+        let others = self.others_fill(plan.source, sent);
         if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
@@ -778,6 +784,9 @@
             _ => (0.0, 1.0, 0.0, 0.0, host),
         };
         self.mark(plan.host, good, bad);
+        if source_bad > 0.0 && end.outcome != Outcome::TimedOut && self.shared_trouble() {
+            self.weigh_fill(false);
+        }
         if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
             self.mark(source, source_good, source_bad);
             let answered = if source_good > 0.0 { now } else { Duration::ZERO };
