--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -39,6 +39,7 @@
 const SCARCE_SHARE: f64 = 0.15;
 const SCARCE_START: f64 = 0.5;
 const FILL_CUT: f64 = 0.97;
+const FILL_FAILED_CUT: f64 = 0.85;
 const FILL_USED: f64 = 0.8;
 /// How long fills stay scarce after the last late one, over the longest outer limit.
 const SCARCE_HOLD: f64 = 0.3;
@@ -740,9 +741,9 @@
         if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
-                Outcome::Succeeded => self.weigh_fill(in_time),
+                Outcome::Succeeded => self.weigh_fill(in_time, FILL_CUT),
                 // One slow source among others that answer is its own trouble, not a want of fills.
-                Outcome::TimedOut if !silent && !others => self.weigh_fill(false),
+                Outcome::TimedOut if !silent && !others => self.weigh_fill(false, FILL_CUT),
                 _ => {}
             }
         }
@@ -785,7 +786,7 @@
         };
         self.mark(plan.host, good, bad);
         if source_bad > 0.0 && end.outcome != Outcome::TimedOut && self.shared_trouble() {
-            self.weigh_fill(false);
+            self.weigh_fill(false, FILL_FAILED_CUT);
         }
         if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
             self.mark(source, source_good, source_bad);
@@ -798,7 +799,7 @@
     /// Guards against fills that crowd each other on a full link or at a slow source: when legs with a source
     /// come late, their number is cut until those that are let through come in time. Harm: a burst of answers
     /// that are late for another cause costs some misses.
-    fn weigh_fill(&mut self, in_time: bool) {
+    fn weigh_fill(&mut self, in_time: bool, cut: f64) {
         let now = self.now;
         if in_time {
             self.timely.add(now, 1.0);
@@ -810,7 +811,7 @@
         self.late.add(now, 1.0);
         let (late, timely) = (self.late.read(now), self.timely.read(now));
         if now < self.scarce_until {
-            self.fill_limit = (self.fill_limit * FILL_CUT).max(1.0);
+            self.fill_limit = (self.fill_limit * cut).max(1.0);
         } else if late >= SICK_FROM && late > SCARCE_SHARE * (late + timely) {
             self.fill_limit = (self.fills_out as f64 * SCARCE_START).max(1.0);
         } else {
