--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -39,7 +39,6 @@
 const SCARCE_SHARE: f64 = 0.15;
 const SCARCE_START: f64 = 0.5;
 const FILL_CUT: f64 = 0.97;
-const FILL_FAILED_CUT: f64 = 0.85;
 const FILL_USED: f64 = 0.8;
 /// How long fills stay scarce after the last late one, over the longest outer limit.
 const SCARCE_HOLD: f64 = 0.3;
@@ -146,8 +145,6 @@
     begun: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
-    /// A cache and a source of which one has failed, until the next leg tells which.
-    suspects: Option<(HostId, HostId)>,
     /// The final answer that is wanted and not yet given, and whether none is owed any more.
     answer: Option<Action>,
     over: bool,
@@ -484,7 +481,6 @@
             legs: Vec::new(),
             begun: false,
             failed: Vec::new(),
-            suspects: None,
             answer: None,
             over: false,
         };
@@ -723,7 +719,6 @@
         let now = self.now;
         let open = self.open.get_mut(&end.query).expect("looked up by the caller");
         let (product, in_time, sized) = (open.query.product, now <= open.due, open.query.size_kb > 0.0);
-        let suspects = open.suspects.take();
         let answered = matches!(end.outcome, Outcome::Succeeded | Outcome::Miss);
         let untold = self.told.notes == Notes::None;
         let (mean, _) = self.sending(product);
@@ -741,9 +736,9 @@
         if plan.source.is_some() {
             self.fills_out = self.fills_out.saturating_sub(1);
             match end.outcome {
-                Outcome::Succeeded => self.weigh_fill(in_time, FILL_CUT),
+                Outcome::Succeeded => self.weigh_fill(in_time),
                 // One slow source among others that answer is its own trouble, not a want of fills.
-                Outcome::TimedOut if !silent && !others => self.weigh_fill(false, FILL_CUT),
+                Outcome::TimedOut if !silent && !others => self.weigh_fill(false),
                 _ => {}
             }
         }
@@ -754,12 +749,6 @@
         if let (Some(source), Note::Hit, false) = (plan.source, end.note, plan.renew) {
             self.hosts.entry(source).and_modify(|host| host.asked.add(now, -mean));
         }
-        if let Some((cache, source)) = suspects.filter(|(cache, _)| *cache == plan.host) {
-            // The same cache with another source, or none, tells which of the two had failed.
-            let part = if answered { 0.5 } else { -0.5 };
-            self.mark(cache, 0.0, -part);
-            self.mark(source, 0.0, part);
-        }
         // Where nothing tells hits from fills, a source's silence can't be known.
         let mute = |id: HostId| untold || self.hosts.get(&id).is_some_and(|host| host.last_answer <= sent);
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
@@ -779,14 +768,13 @@
                 (0.0, 0.0, 0.0, f64::from(u8::from(source.is_some_and(mute))), source)
             }
             (Outcome::HostError | Outcome::TurnedAway, _) if untold && source.is_some() => {
-                self.open.entry(end.query).and_modify(|o| o.suspects = source.map(|s| (plan.host, s)));
                 (0.0, 0.5, 0.0, 0.5, source)
             }
             _ => (0.0, 1.0, 0.0, 0.0, host),
         };
         self.mark(plan.host, good, bad);
         if source_bad > 0.0 && end.outcome != Outcome::TimedOut && self.shared_trouble() {
-            self.weigh_fill(false, FILL_FAILED_CUT);
+            self.weigh_fill(false);
         }
         if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
             self.mark(source, source_good, source_bad);
@@ -799,7 +787,7 @@
     /// Guards against fills that crowd each other on a full link or at a slow source: when legs with a source
     /// come late, their number is cut until those that are let through come in time. Harm: a burst of answers
     /// that are late for another cause costs some misses.
-    fn weigh_fill(&mut self, in_time: bool, cut: f64) {
+    fn weigh_fill(&mut self, in_time: bool) {
         let now = self.now;
         if in_time {
             self.timely.add(now, 1.0);
@@ -811,7 +799,7 @@
         self.late.add(now, 1.0);
         let (late, timely) = (self.late.read(now), self.timely.read(now));
         if now < self.scarce_until {
-            self.fill_limit = (self.fill_limit * cut).max(1.0);
+            self.fill_limit = (self.fill_limit * FILL_CUT).max(1.0);
         } else if late >= SICK_FROM && late > SCARCE_SHARE * (late + timely) {
             self.fill_limit = (self.fills_out as f64 * SCARCE_START).max(1.0);
         } else {
