--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -42,21 +42,15 @@
 const FILL_USED: f64 = 0.8;
 /// How long fills stay scarce after the last late one, over the longest outer limit.
 const SCARCE_HOLD: f64 = 0.3;
-/// Sending times, and parts of the fixed due time, that a leg is given and that its retry needs.
+/// Sending times, and parts of the fixed due time, that an ordinary leg takes, a fill included.
 const LEG_SENDING: f64 = 1.25;
 const LEG_FIXED: f64 = 0.5;
-const RETRY_SENDING: f64 = 1.1;
-const RETRY_FIXED: f64 = 0.3;
 /// Standard deviations of the time taken that a leg of untold size is given.
 const LEG_DEVIATIONS: f64 = 3.0;
 /// Legs that fetch, at most, for one query.
 const FETCH_LEGS: usize = 3;
-/// What a success counts for a source where nothing tells hits from fills.
-const UNTOLD_FILL: f64 = 0.3;
 /// Part of a labelled query's remembered time within which it is sent again.
 const REMEMBERED_PART: f64 = 0.9;
-/// Times the told span that a purge is heeded, for clocks and notices that lag.
-const PURGE_KEPT: u32 = 2;
 /// Part of the longest pause that a dismissal names at least; the rest is chance, so that clients spread out.
 const LEAST_PAUSE: f64 = 0.5;
 /// Part of the time a list may be relied on after which it is asked for again, once to twice.
@@ -76,6 +70,10 @@
         Decaying { sum: 0.0, at: Duration::ZERO, memory: memory.as_secs_f64().max(1e-6) }
     }
 
+    fn emptied(self) -> Self {
+        Decaying { sum: 0.0, ..self }
+    }
+
     fn read(&self, now: Duration) -> f64 {
         self.sum * libm::exp(-now.saturating_sub(self.at).as_secs_f64() / self.memory)
     }
@@ -179,8 +177,8 @@
     fills_out: usize,
     fill_limit: f64,
     scarce_until: Duration,
-    purged_objects: BTreeMap<ObjectId, Duration>,
-    purged_groups: BTreeMap<GroupId, Duration>,
+    /// When an object, or a whole group, was purged.
+    purges: BTreeMap<(GroupId, Option<ObjectId>), Duration>,
     timers: BTreeMap<TimerId, (QueryId, usize)>,
     last_timer: u32,
     chance: oorandom::Rand64,
@@ -209,8 +207,7 @@
             fills_out: 0,
             fill_limit: 1.0,
             scarce_until: Duration::ZERO,
-            purged_objects: BTreeMap::new(),
-            purged_groups: BTreeMap::new(),
+            purges: BTreeMap::new(),
             timers: BTreeMap::new(),
             last_timer: 0,
             chance: oorandom::Rand64::new(u128::from(seed)),
@@ -270,7 +267,7 @@
             let restarted = known.as_ref().is_none_or(|host| host.listing.started != listing.started);
             let mut host = known.unwrap_or_else(|| self.new_host(&listing));
             if restarted {
-                (host.good, host.bad) = (self.health(), self.health());
+                (host.good, host.bad) = (host.good.emptied(), host.bad.emptied());
                 host.answers_since_start = 0.0;
             }
             host.listing = listing;
@@ -296,12 +293,8 @@
         touched.into_iter().for_each(|id| self.emit(id));
     }
 
-    fn health(&self) -> Decaying {
-        Decaying::over(self.longest.mul_f64(HEALTH_MEMORY))
-    }
-
     fn new_host(&self, listing: &Listing) -> Host {
-        let health = self.health();
+        let health = self.late.emptied();
         let cache = listing.role == Role::Cache;
         let cold = if cache { self.told.cold_cache } else { self.told.cold_parent };
         Host {
@@ -319,24 +312,19 @@
     }
 
     fn purged(&mut self, object: Option<ObjectId>, group: GroupId, ago: Duration) {
-        let at = self.now.saturating_sub(ago);
-        let oldest = self.now.saturating_sub(self.told.purge_done * PURGE_KEPT);
-        self.purged_objects.retain(|_, purge| *purge >= oldest);
-        self.purged_groups.retain(|_, purge| *purge >= oldest);
+        let (now, done) = (self.now, self.told.purge_done);
+        self.purges.retain(|_, at| now.saturating_sub(*at) <= done);
         // A full table folds into groups: stricter than needed, never laxer.
-        let purge = match object.filter(|_| self.purged_objects.len() < self.told.most_held) {
-            Some(object) => self.purged_objects.entry(object).or_default(),
-            None => self.purged_groups.entry(group).or_default(),
-        };
-        *purge = at.max(*purge);
+        let object = object.filter(|_| self.purges.len() < self.told.most_held);
+        let at = self.purges.entry((group, object)).or_default();
+        *at = now.saturating_sub(ago).max(*at);
     }
 
     /// The oldest copy that a purge leaves acceptable, while older ones can exist.
     fn purge_cap(&self, query: &Query) -> Option<Duration> {
-        let object = self.purged_objects.get(&query.object);
-        let at = object.into_iter().chain(self.purged_groups.get(&query.group)).max()?;
-        let age = self.now.saturating_sub(*at);
-        (age <= self.told.purge_done * PURGE_KEPT).then(|| age.max(Duration::from_micros(1)))
+        let purges = [None, Some(query.object)].map(|object| self.purges.get(&(query.group, object)));
+        let age = self.now.saturating_sub(*purges.into_iter().flatten().max()?);
+        (age <= self.told.purge_done).then(|| age.max(Duration::from_micros(1)))
     }
 
     /// Sending time of a product: the mean, and what one of untold size takes at most in the ordinary case.
@@ -466,8 +454,7 @@
             self.seen.retain(|_, seen| seen.read(now) > 1.0);
         }
         if self.seen.len() < self.told.most_held {
-            let new = Decaying::over(self.longest.mul_f64(POPULARITY_MEMORY));
-            self.seen.entry((query.object, query.part)).or_insert(new).add(now, 1.0);
+            self.seen.entry((query.object, query.part)).or_insert(self.traffic.emptied()).add(now, 1.0);
         }
         let told = &self.rows[product.0].told;
         let (id, ends) = (query.id, now + query.time_left);
@@ -604,10 +591,9 @@
     /// the room is before the due time, else before the client gives up.
     fn leg_limit(&self, open: &Open, aim: Aim) -> Option<Duration> {
         let told = &self.rows[open.query.product.0].told;
-        let room = Duration::from_secs_f64(RETRY_SENDING * open.work) + told.due.mul_f64(RETRY_FIXED);
         let retry = told.grace > Duration::ZERO && aim != Aim::Held && open.had(Aim::Held) == 0;
         let until = if retry { open.due } else { open.ends };
-        let room = if aim == Aim::Held { Duration::ZERO } else { room };
+        let room = if aim == Aim::Held { Duration::ZERO } else { open.ordinary };
         let limit = until.saturating_sub(self.now + room).max(open.ordinary);
         (told.effect == Effect::Redoable).then(|| limit.min(open.ends.saturating_sub(self.now)))
     }
@@ -652,12 +638,12 @@
         let (mean, _) = self.sending(query.product);
         let order = self.order(Role::Cache, query);
         let shut = order.iter().filter(|id| self.sick(**id)).count() * 2 <= order.len();
-        let near = &order[..self.width(query, order.len()).min(order.len())];
+        let width = self.width(query, order.len());
         let fits =
             |id: &HostId| (!shut || self.well(*id)) && self.bears(*id, mean) && !open.failed.contains(id);
-        let usable: Vec<_> = order.iter().copied().filter(fits).collect();
+        let usable: Vec<_> = order.into_iter().filter(fits).collect();
         let lighter = |a: &HostId, b: &HostId| self.load(*a).total_cmp(&self.load(*b));
-        let first = usable.iter().copied().filter(|id| near.contains(id)).min_by(lighter);
+        let first = usable.iter().copied().take(width).min_by(lighter);
         if let Some(calm) = first.filter(|id| self.load(*id) <= CALM_LOAD) {
             return Some((calm, false));
         }
@@ -752,7 +738,7 @@
         // Where nothing tells hits from fills, a source's silence can't be known.
         let mute = |id: HostId| untold || self.hosts.get(&id).is_some_and(|host| host.last_answer <= sent);
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
-        let fill = if untold { UNTOLD_FILL } else { f64::from(u8::from(filled)) };
+        let fill = f64::from(u8::from(untold || filled));
         let (host, source) = (Some(plan.host), plan.source);
         // Good and bad to the host, good and bad to the source, and what this query leaves out.
         let (good, bad, source_good, source_bad, failed) = match (end.outcome, end.note) {
