--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -134,6 +134,7 @@
 #[derive(Debug)]
 struct Open {
     query: Query,
+    redoable: bool,
     due: Duration,
     ends: Duration,
     /// Sending time: told, or the mean of the product; and how long an ordinary leg takes, a fill included.
@@ -281,10 +282,9 @@
         self.listed = true;
         // Legs at hosts that are gone will not come back: called off, and planned anew when that is confirmed.
         let mut touched = Vec::new();
-        for (id, open) in &mut self.open {
-            let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
+        for (id, open) in self.open.iter_mut().filter(|(_, open)| open.redoable && !open.begun) {
             for leg in open.legs.iter_mut().filter(|leg| leg.present == Present::Out) {
-                if redoable && !open.begun && !self.hosts.contains_key(&leg.plan.host) {
+                if !self.hosts.contains_key(&leg.plan.host) {
                     leg.wanted = false;
                     touched.push(*id);
                 }
@@ -349,14 +349,11 @@
 
     /// Share of its link that a host can surely give now; told figures only.
     fn share(&self, host: &Host) -> f64 {
-        let cold = host.cold;
-        match host.listing.started {
-            Some(started) if host.listing.role != Role::Origin => {
-                let age = self.now.saturating_sub(started).as_secs_f64() / cold.ramp.as_secs_f64().max(1e-6);
-                (cold.share + (1.0 - cold.share) * age).min(1.0)
-            }
-            _ => 1.0,
-        }
+        let Some(started) = host.listing.started.filter(|_| host.listing.role != Role::Origin) else {
+            return 1.0;
+        };
+        let age = self.now.saturating_sub(started).as_secs_f64() / host.cold.ramp.as_secs_f64().max(1e-6);
+        (host.cold.share + (1.0 - host.cold.share) * age).min(1.0)
     }
 
     /// Transfers at full pace that a host's link fits, for this dispatcher's part of its traffic: as told, or as
@@ -373,10 +370,10 @@
 
     /// This dispatcher's part of what may be sent to a cold host within its span, in sending time.
     fn cold_budget(&self, id: HostId) -> Option<f64> {
-        let host = &self.hosts[&id];
-        let (share, cold) = (self.share(host), host.cold);
-        let whole = cold.multiple * share * self.lanes(host) * cold.span.as_secs_f64();
-        (share < 1.0).then_some(COLD_PART * whole)
+        let (host, cold) = (&self.hosts[&id], self.hosts[&id].cold);
+        let budget =
+            COLD_PART * cold.multiple * self.share(host) * self.lanes(host) * cold.span.as_secs_f64();
+        (self.share(host) < 1.0).then_some(budget)
     }
 
     /// Guards cold hosts: within the budget, and at a fresh cache under a cap that grows with its answers.
@@ -391,9 +388,11 @@
     /// In flight over what the link carries at present, the leg to come included; all seats taken as alike.
     fn load(&self, id: HostId) -> f64 {
         let host = &self.hosts[&id];
-        match self.told.weights {
-            Weights::Link => (host.out + 1) as f64 / (self.lanes(host) * self.share(host)),
-            Weights::Unknown => 0.0,
+        let load = (host.out + 1) as f64 / (self.lanes(host) * self.share(host));
+        if self.told.weights == Weights::Link {
+            load
+        } else {
+            0.0
         }
     }
 
@@ -420,11 +419,9 @@
     /// Ready hosts of a role in the hash order of a part of an object; the same at every dispatcher.
     fn order(&self, role: Role, query: &Query) -> Vec<HostId> {
         let score = |host: &Host| {
-            let mut key = [0u8; 20];
-            key[..8].copy_from_slice(&query.object.0.to_be_bytes());
-            key[8..12].copy_from_slice(&query.part.to_be_bytes());
-            key[12..].copy_from_slice(&host.listing.host.0.to_be_bytes());
-            let unit = ((xxhash_rust::xxh3::xxh3_64(&key) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+            let key = (u128::from(query.object.0) << 32 | u128::from(query.part)).to_be_bytes();
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&key, host.listing.host.0);
+            let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
             let weight = if self.told.weights == Weights::Link { host.listing.weight.max(1e-3) } else { 1.0 };
             -weight / libm::log(unit)
         };
@@ -461,6 +458,7 @@
         let usual = if sized { work } else { long };
         let open = Open {
             query,
+            redoable: told.effect == Effect::Redoable,
             due: (now + told.due + Duration::from_secs_f64(told.stretch * work)).min(ends),
             ends,
             work,
@@ -595,7 +593,7 @@
         let until = if retry { open.due } else { open.ends };
         let room = if aim == Aim::Held { Duration::ZERO } else { open.ordinary };
         let limit = until.saturating_sub(self.now + room).max(open.ordinary);
-        (told.effect == Effect::Redoable).then(|| limit.min(open.ends.saturating_sub(self.now)))
+        open.redoable.then(|| limit.min(open.ends.saturating_sub(self.now)))
     }
 
     /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
@@ -605,14 +603,13 @@
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
         let Some(open) = self.open.get(&id).filter(|open| !open.begun) else { return };
-        let redoable = self.rows[open.query.product.0].told.effect == Effect::Redoable;
         let Some(leg) = open.legs.get(no).filter(|leg| leg.present == Present::Out) else { return };
         let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
         let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
         let others = self.others_fill(leg.plan.source, leg.sent);
         let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
         let culprit = Some(leg.plan.host).filter(mute).or(stuck);
-        let Some(culprit) = culprit.filter(|_| redoable && self.told.cancel) else { return };
+        let Some(culprit) = culprit.filter(|_| open.redoable && self.told.cancel) else { return };
         self.mark(culprit, 0.0, 1.0);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.legs[no].wanted = false;
@@ -659,11 +656,8 @@
     fn width(&self, query: &Query, caches: usize) -> usize {
         let seen = self.seen.get(&(query.object, query.part)).map_or(0.0, |seen| seen.read(self.now));
         let hot = seen > 1.5 && seen * caches as f64 >= HOT_SHARE * self.traffic.read(self.now);
-        if hot {
-            HOT_WIDTH.min(caches.saturating_sub(1)).max(1)
-        } else {
-            1
-        }
+        let most = if hot { HOT_WIDTH } else { 1 };
+        most.min(caches.saturating_sub(1)).max(1)
     }
 
     /// If all parents look bad the trouble may lie behind them: none is shut out, but fills are scarce.
@@ -829,9 +823,6 @@
             self.fills_out += usize::from(plan.source.is_some());
             self.hosts.entry(plan.host).and_modify(|host| host.out += 1);
             for id in [Some(plan.host), plan.source].into_iter().flatten() {
-                if !self.hosts.contains_key(&id) {
-                    continue;
-                }
                 // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
                 let bad = self.hosts[&id].bad.read(now);
                 let pause =
