--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -9,12 +9,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Memory of health and of what a host carries, over the longest outer limit.
-const HEALTH_MEMORY: f64 = 1.0;
-/// Memory of what is asked for, over the longest outer limit.
+/// Memory of what is asked for, over the longest outer limit; that of health is the limit itself.
 const POPULARITY_MEMORY: f64 = 4.0;
 /// An object is hot when its share of the traffic reaches this part of an even share for each cache.
 const HOT_SHARE: f64 = 0.05;
+/// What is seen this often lately is asked for again, not once only.
+const SEEN_AGAIN: f64 = 1.2;
 /// Caches that a hot object reaches, fewer where that would be all.
 const HOT_WIDTH: usize = 2;
 /// A host is avoided from this many recent failures on, if they are this share of its answers.
@@ -30,29 +30,19 @@
 const FRESH_GAIN: f64 = 0.5;
 /// Load, over what a cache's link carries at full pace, up to which the hash order stands.
 const CALM_LOAD: f64 = 2.0;
-/// Part of that below which another cache counts as idle enough to take a query out of the hash order.
-const IDLE_PART: f64 = 0.5;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
 /// Share of late answers among legs with a source at which fills count as scarce; their number then starts at
-/// this part of those out, falls to this part with each late one, and grows while this part of it is used.
+/// this part of those out, and falls to this part with each late one.
 const SCARCE_SHARE: f64 = 0.15;
 const SCARCE_START: f64 = 0.5;
 const FILL_CUT: f64 = 0.97;
-const FILL_USED: f64 = 0.8;
 /// How long fills stay scarce after the last late one, over the longest outer limit.
 const SCARCE_HOLD: f64 = 0.3;
-/// Sending times, and parts of the fixed due time, that an ordinary leg takes, a fill included.
+/// Sending times (mean and deviations where untold) and parts of the due time that an ordinary leg takes.
 const LEG_SENDING: f64 = 1.25;
 const LEG_FIXED: f64 = 0.5;
-/// Standard deviations of the time taken that a leg of untold size is given.
 const LEG_DEVIATIONS: f64 = 3.0;
-/// Legs that fetch, at most, for one query.
-const FETCH_LEGS: usize = 3;
-/// Part of a labelled query's remembered time within which it is sent again.
-const REMEMBERED_PART: f64 = 0.9;
-/// Part of the longest pause that a dismissal names at least; the rest is chance, so that clients spread out.
-const LEAST_PAUSE: f64 = 0.5;
 /// Part of the time a list may be relied on after which it is asked for again, once to twice.
 const ASK_AGAIN: f64 = 0.1;
 const SUBSCRIPTION: TimerId = TimerId(0);
@@ -144,7 +134,7 @@
     begun: bool,
     /// Hosts that failed this query, as host or as source.
     failed: Vec<HostId>,
-    /// The final answer that is wanted and not yet given, and whether none is owed any more.
+    /// The final answer wanted and not yet given; whether none is owed any more.
     answer: Option<Action>,
     over: bool,
 }
@@ -193,7 +183,7 @@
     pub fn new(told: Deployment, seed: u64) -> Self {
         let longest = told.products.iter().map(|p| p.outer_limit).max().unwrap_or(Duration::from_secs(1));
         let popularity = Decaying::over(longest.mul_f64(POPULARITY_MEMORY));
-        let health = Decaying::over(longest.mul_f64(HEALTH_MEMORY));
+        let health = Decaying::over(longest);
         let row = |told: &Product| Row { told: told.clone(), sending: [popularity; 3] };
         Dispatcher {
             rows: told.products.iter().map(row).collect(),
@@ -237,8 +227,7 @@
                 self.open.entry(query).and_modify(|open| open.over = true);
                 self.emit(query);
             }
-            Event::TimerDue(SUBSCRIPTION) if self.told.ask_within.is_none() => {}
-            Event::TimerDue(SUBSCRIPTION) => self.actions.push(Action::Subscribe { on: true }),
+            Event::TimerDue(SUBSCRIPTION) => self.actions = self.start(),
             Event::TimerDue(timer) => self.look_into(timer),
             Event::Purged { object, group, ago } => self.purged(object, group, ago),
             Event::Probed { .. } | Event::Told { .. } => {}
@@ -246,8 +235,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    // What is known.
-
     fn listed(&mut self, scope: ListScope, hosts: Vec<Listing>) {
         if scope == ListScope::Failed {
             // Guards against a lost subscription: an old list counts as told. Asked again well within that time.
@@ -268,8 +255,8 @@
             let restarted = known.as_ref().is_none_or(|host| host.listing.started != listing.started);
             let mut host = known.unwrap_or_else(|| self.new_host(&listing));
             if restarted {
-                (host.good, host.bad) = (host.good.emptied(), host.bad.emptied());
-                host.answers_since_start = 0.0;
+                (host.good, host.bad, host.answers_since_start) =
+                    (host.good.emptied(), host.bad.emptied(), 0.0);
             }
             host.listing = listing;
             self.hosts.insert(id, host);
@@ -479,17 +466,18 @@
         match self.rows[open.query.product.0].told.effect {
             Effect::Redoable => true,
             Effect::Irreversible => open.maybe_ran().next().is_none(),
-            Effect::Labelled { scope, remembered } => open.maybe_ran().all(|leg| {
-                let listing = |id: &HostId| self.hosts.get(id).map(|host| &host.listing);
-                let alike = match (listing(&leg.plan.host), listing(&host), scope) {
-                    (_, _, LabelScope::All) => true,
-                    (Some(a), Some(b), LabelScope::Location) => a.location == b.location,
-                    (Some(a), Some(b), LabelScope::Cell) => a.cell == b.cell,
-                    _ => false,
+            Effect::Labelled { scope, remembered } => {
+                let group = |id: &HostId| {
+                    self.hosts.get(id).map(|host| match scope {
+                        LabelScope::All => 0,
+                        LabelScope::Location => host.listing.location.0,
+                        LabelScope::Cell => host.listing.cell.0,
+                    })
                 };
-                // The remembered time is not used up to its end: a leg takes a while to arrive.
-                alike && self.now < leg.sent + remembered.mul_f64(REMEMBERED_PART)
-            }),
+                // Not to the end of the remembered time: a leg takes a while.
+                let fits = |leg: &LegState| self.now + open.ordinary < leg.sent + remembered;
+                open.maybe_ran().all(|leg| fits(leg) && group(&leg.plan.host) == group(&host))
+            }
         }
     }
 
@@ -506,7 +494,8 @@
             Effect::Redoable | Effect::Labelled { scope: LabelScope::All, .. } => true,
             _ => open.maybe_ran().next().is_none(),
         };
-        let (sent, spread) = (self.now, LEAST_PAUSE + (1.0 - LEAST_PAUSE) * self.chance.rand_float());
+        // Spread by chance, so that clients don't come back together.
+        let (sent, spread) = (self.now, self.chance.rand_float());
         let pause = self.told.longest_pause.map(|pause| pause.mul_f64(spread));
         let open = self.open.get_mut(&id).expect("looked up above");
         match next {
@@ -521,18 +510,14 @@
     fn next_leg(&self, open: &Open) -> Option<(Aim, Leg)> {
         let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
         let graced = told.cacheable && told.grace > Duration::ZERO && open.had(Aim::Held) == 0;
-        let last = open.legs.last();
-        let failed = last.filter(|leg| leg.aim == Aim::Fetch);
-        let (host, source, aim) = if let Some(leg) = failed.filter(|_| graced) {
+        let failed = open.legs.last().filter(|leg| graced && leg.aim == Aim::Fetch);
+        let (host, source, aim) = if let Some(leg) = failed {
             // The held-copy retry: the same cache, which may hold one, unless the cache is what failed.
-            let usable =
-                |id: &HostId| !open.failed.contains(id) && self.ready(*id) && self.bears(*id, open.work);
-            let same = Some(leg.plan.host).filter(usable);
+            let ready =
+                |id: &HostId| self.order(Role::Cache, query).contains(id) && self.bears(*id, open.work);
+            let same = Some(leg.plan.host).filter(|id| ready(id) && !open.failed.contains(id));
             (same.or_else(|| Some(self.pick_cache(open)?.0))?, None, Aim::Held)
         } else {
-            if open.had(Aim::Fetch) >= FETCH_LEGS {
-                return None;
-            }
             let (host, crowded) = match self.pick_cache(open) {
                 Some(pick) => pick,
                 // Exception: with no cache of the location ready, straight to where fills come from.
@@ -547,16 +532,13 @@
             let full = scarce && self.fills_out as f64 >= self.fill_limit;
             // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a slow
             // source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
-            let source = match look || full || crowded && told.cacheable {
-                true => None,
-                false => self.pick_source(open),
-            };
-            match source {
+            let bare = look || full || crowded && told.cacheable;
+            match if bare { None } else { self.pick_source(open) } {
                 Some(source) if source == host => (host, None, Aim::Fetch),
-                Some(_) => (host, source, Aim::Fetch),
+                Some(source) => (host, Some(source), Aim::Fetch),
                 None if look => (host, None, Aim::Look),
                 // Nothing more is to be had from a second look.
-                None if !graced && open.legs.iter().any(|leg| leg.aim != Aim::Fetch) => return None,
+                None if !graced && !open.legs.is_empty() => return None,
                 None => (host, None, Aim::Held),
             }
         };
@@ -571,10 +553,10 @@
             host,
             source,
             limit: self.leg_limit(open, aim),
-            keep: match self.seen.get(&(query.object, query.part)).map(|seen| seen.read(self.now) > 1.2) {
+            keep: match self.seen(query) > SEEN_AGAIN {
                 _ if !told.cacheable => Keep::Not,
-                Some(true) => Keep::Middle,
-                _ => Keep::Low,
+                true => Keep::Middle,
+                false => Keep::Low,
             },
             oldest: oldest.filter(|_| told.cacheable),
             join: self.told.joins && told.cacheable && aim == Aim::Fetch,
@@ -598,8 +580,8 @@
 
     /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
     /// answered nothing since is called off and planned anew; so is one whose source failed before and has filled
-    /// nothing since, while others have. Slow but answering hosts are left alone. Harm: on a host with next to no traffic one slow
-    /// leg looks like silence.
+    /// nothing since, while others have. Slow but answering hosts are left alone. Harm: on a host with next to no
+    /// traffic one slow leg looks like silence.
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
         let Some(open) = self.open.get(&id).filter(|open| !open.begun) else { return };
@@ -624,10 +606,6 @@
         self.told.notes != Notes::None && self.hosts.values().any(filled)
     }
 
-    fn ready(&self, id: HostId) -> bool {
-        self.hosts.get(&id).is_some_and(|host| host.listing.readiness == Readiness::Ready)
-    }
-
     /// The cache for a leg, and whether it is too crowded for a fill. Avoided caches are left out but for
     /// trials; if most look bad the trouble may lie behind them all, and none is shut out.
     fn pick_cache(&self, open: &Open) -> Option<(HostId, bool)> {
@@ -644,18 +622,22 @@
         if let Some(calm) = first.filter(|id| self.load(*id) <= CALM_LOAD) {
             return Some((calm, false));
         }
-        // Exception: a crowded cache passes the query on in hash order to one that is idle enough.
-        if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= CALM_LOAD * IDLE_PART) {
+        // Exception: a crowded cache passes the query on in hash order to one whose link still has room.
+        if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= 1.0) {
             return Some((idle, false));
         }
         let most = CROWD_PART * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
         first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
     }
 
+    fn seen(&self, query: &Query) -> f64 {
+        self.seen.get(&(query.object, query.part)).map_or(0.0, |seen| seen.read(self.now))
+    }
+
     /// How many caches an object is spread over: two when this dispatcher sees it often, but never all.
     fn width(&self, query: &Query, caches: usize) -> usize {
-        let seen = self.seen.get(&(query.object, query.part)).map_or(0.0, |seen| seen.read(self.now));
-        let hot = seen > 1.5 && seen * caches as f64 >= HOT_SHARE * self.traffic.read(self.now);
+        let seen = self.seen(query);
+        let hot = seen > SEEN_AGAIN && seen * caches as f64 >= HOT_SHARE * self.traffic.read(self.now);
         let most = if hot { HOT_WIDTH } else { 1 };
         most.min(caches.saturating_sub(1)).max(1)
     }
@@ -712,16 +694,7 @@
                 host.carried.add(now, mean);
             }
         }
-        let others = self.others_fill(plan.source, sent);
-        if plan.source.is_some() {
-            self.fills_out = self.fills_out.saturating_sub(1);
-            match end.outcome {
-                Outcome::Succeeded => self.weigh_fill(in_time),
-                // One slow source among others that answer is its own trouble, not a want of fills.
-                Outcome::TimedOut if !silent && !others => self.weigh_fill(false),
-                _ => {}
-            }
-        }
+        self.fills_out = self.fills_out.saturating_sub(usize::from(plan.source.is_some()));
         if end.outcome == Outcome::Succeeded && !(sized && self.told.stream_kb_per_s > 0.0) {
             self.learn_sending(product, end.took.as_secs_f64());
         }
@@ -753,8 +726,14 @@
             _ => (0.0, 1.0, 0.0, 0.0, host),
         };
         self.mark(plan.host, good, bad);
-        if source_bad > 0.0 && end.outcome != Outcome::TimedOut && self.shared_trouble() {
-            self.weigh_fill(false);
+        // One slow source among others that fill is its own trouble, not a want of fills.
+        let late = match end.outcome {
+            Outcome::Succeeded => !in_time,
+            Outcome::TimedOut => !silent && !self.others_fill(source, sent),
+            _ => source_bad > 0.0 && self.shared_trouble(),
+        };
+        if source.is_some() && (late || end.outcome == Outcome::Succeeded) {
+            self.weigh_fill(!late);
         }
         if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
             self.mark(source, source_good, source_bad);
@@ -771,9 +750,7 @@
         let now = self.now;
         if in_time {
             self.timely.add(now, 1.0);
-            if self.fills_out as f64 + 1.0 >= FILL_USED * self.fill_limit {
-                self.fill_limit += 1.0 / self.fill_limit;
-            }
+            self.fill_limit += 1.0 / self.fill_limit;
             return;
         }
         self.late.add(now, 1.0);
@@ -824,9 +801,8 @@
             self.hosts.entry(plan.host).and_modify(|host| host.out += 1);
             for id in [Some(plan.host), plan.source].into_iter().flatten() {
                 // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
-                let bad = self.hosts[&id].bad.read(now);
-                let pause =
-                    if self.sick(id) { self.longest.mul_f64(TRIAL_PAUSE * bad) } else { Duration::ZERO };
+                let bad = if self.sick(id) { self.hosts[&id].bad.read(now) } else { 0.0 };
+                let pause = self.longest.mul_f64(TRIAL_PAUSE * bad);
                 self.hosts.entry(id).and_modify(|host| {
                     host.asked.add(now, mean);
                     host.next_trial = host.next_trial.max(now + pause);
