--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -42,6 +42,8 @@
 /// Sending times (mean and deviations where untold) and parts of the due time that an ordinary leg takes.
 const LEG_SENDING: f64 = 1.25;
 const LEG_FIXED: f64 = 0.5;
+/// Part of the due time that the held-copy retry is left besides its sending.
+const RETRY_FIXED: f64 = 0.2;
 const LEG_DEVIATIONS: f64 = 3.0;
 /// Part of the time a list may be relied on after which it is asked for again, once to twice.
 const ASK_AGAIN: f64 = 0.1;
@@ -573,7 +575,8 @@
         let told = &self.rows[open.query.product.0].told;
         let retry = told.grace > Duration::ZERO && aim != Aim::Held && open.had(Aim::Held) == 0;
         let until = if retry { open.due } else { open.ends };
-        let room = if aim == Aim::Held { Duration::ZERO } else { open.ordinary };
+        let room = Duration::from_secs_f64(LEG_SENDING * open.work) + told.due.mul_f64(RETRY_FIXED);
+        let room = if aim == Aim::Held { Duration::ZERO } else { room };
         let limit = until.saturating_sub(self.now + room).max(open.ordinary);
         open.redoable.then(|| limit.min(open.ends.saturating_sub(self.now)))
     }
