--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -459,7 +459,7 @@
             over: false,
         };
         self.open.insert(id, open);
-        self.plan(id, false);
+        self.plan(id);
         self.emit(id);
     }
 
@@ -484,10 +484,10 @@
     }
 
     /// Decides the next leg of a query that has none out, or its end: what is given up is answered at once.
-    fn plan(&mut self, id: QueryId, second: bool) {
+    fn plan(&mut self, id: QueryId) {
         let Some(open) = self.open.get(&id) else { return };
         let busy = open.legs.iter().any(|leg| !matches!(leg.present, Present::Over(_)));
-        if open.over || open.begun || busy && !second {
+        if open.over || open.begun || busy {
             return;
         }
         let allowed = open.legs.len() < self.told.leg_limit && self.now < open.ends;
@@ -504,7 +504,6 @@
             Some((aim, plan)) => {
                 open.legs.push(LegState { plan, aim, wanted: true, present: Present::Unsent, sent })
             }
-            None if second => {}
             None if dismissible => open.answer = Some(Action::Dismiss { query: id, pause }),
             None => open.answer = Some(Action::Terminate { query: id }),
         }
@@ -594,22 +593,16 @@
         let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
         let others = self.others_fill(leg.plan.source, leg.sent);
         let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
-        let culprit = Some(leg.plan.host).filter(mute).or(stuck);
-        let lone = open.legs.iter().filter(|leg| leg.present == Present::Out).count() == 1;
-        let timely =
-            self.now + Duration::from_secs_f64(open.work) <= open.due && self.now >= self.scarce_until;
-        let second = self.told.second_copies && lone && timely;
-        let (host, give_up) = (leg.plan.host, culprit.is_some());
-        if !open.redoable || !self.told.cancel || !give_up && !second {
-            return;
-        }
-        culprit.into_iter().for_each(|culprit| self.mark(culprit, 0.0, 1.0));
+        // A leg without a source waits for nothing but the cache.
+        let bare = |id: &HostId| {
+            leg.plan.source.is_none() && self.hosts.contains_key(id) && self.load(*id) <= CALM_LOAD
+        };
+        let culprit = Some(leg.plan.host).filter(|id| mute(id) || bare(id)).or(stuck);
+        let Some(culprit) = culprit.filter(|_| open.redoable && self.told.cancel) else { return };
+        self.mark(culprit, 0.0, 1.0);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.legs[no].wanted = !give_up;
-        open.failed.push(culprit.unwrap_or(host));
-        if !give_up {
-            self.plan(id, true);
-        }
+        open.legs[no].wanted = false;
+        open.failed.push(culprit);
         self.emit(id);
     }
 
@@ -685,7 +678,7 @@
         open.over |= end.over;
         let failed = self.judge(&end, plan, sent);
         self.open.entry(end.query).and_modify(|open| open.failed.extend(failed));
-        self.plan(end.query, false);
+        self.plan(end.query);
         self.emit(end.query);
     }
 
