--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -143,7 +143,8 @@
 
 impl Open {
     fn had(&self, aim: Aim) -> usize {
-        self.legs.iter().filter(|leg| leg.aim == aim).count()
+        let called_off = Present::Over(Outcome::CalledOff);
+        self.legs.iter().filter(|leg| leg.aim == aim && leg.present != called_off).count()
     }
 
     /// Legs of which it is not known that they never ran.
@@ -540,7 +541,9 @@
                 Some(source) => (host, Some(source), Aim::Fetch),
                 None if look => (host, None, Aim::Look),
                 // Nothing more is to be had from a second look.
-                None if !graced && !open.legs.is_empty() => return None,
+                None if !graced && open.had(Aim::Fetch) + open.had(Aim::Look) + open.had(Aim::Held) > 0 => {
+                    return None
+                }
                 None => (host, None, Aim::Held),
             }
         };
@@ -593,16 +596,17 @@
         let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
         let others = self.others_fill(leg.plan.source, leg.sent);
         let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
-        // A leg without a source waits for nothing but the cache.
-        let bare = |id: &HostId| {
-            leg.plan.source.is_none() && self.hosts.contains_key(id) && self.load(*id) <= CALM_LOAD
-        };
-        let culprit = Some(leg.plan.host).filter(|id| mute(id) || bare(id)).or(stuck);
-        let Some(culprit) = culprit.filter(|_| open.redoable && self.told.cancel) else { return };
-        self.mark(culprit, 0.0, 1.0);
+        let culprit = Some(leg.plan.host).filter(mute).or(stuck);
+        // A leg without a source waits for nothing but the cache: lost there, it goes to the same cache again.
+        let lost = leg.plan.source.is_none() && self.hosts.contains_key(&leg.plan.host);
+        let lost = lost && self.load(leg.plan.host) <= CALM_LOAD;
+        if !open.redoable || !self.told.cancel || culprit.is_none() && !lost {
+            return;
+        }
+        culprit.into_iter().for_each(|culprit| self.mark(culprit, 0.0, 1.0));
         let open = self.open.get_mut(&id).expect("looked up above");
         open.legs[no].wanted = false;
-        open.failed.push(culprit);
+        open.failed.extend(culprit);
         self.emit(id);
     }
 
