--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -143,8 +143,7 @@
 
 impl Open {
     fn had(&self, aim: Aim) -> usize {
-        let called_off = Present::Over(Outcome::CalledOff);
-        self.legs.iter().filter(|leg| leg.aim == aim && leg.present != called_off).count()
+        self.legs.iter().filter(|leg| leg.aim == aim).count()
     }
 
     /// Legs of which it is not known that they never ran.
@@ -335,8 +334,6 @@
         sums.zip([1.0, seconds, seconds * seconds]).for_each(|(sum, amount)| sum.add(self.now, amount));
     }
 
-    // Hosts.
-
     /// Share of its link that a host can surely give now; told figures only.
     fn share(&self, host: &Host) -> f64 {
         let Some(started) = host.listing.started.filter(|_| host.listing.role != Role::Origin) else {
@@ -426,8 +423,6 @@
         hosts.into_iter().map(|(_, id)| id).collect()
     }
 
-    // Queries.
-
     fn asked(&mut self, query: Query) {
         let (now, product) = (self.now, query.product);
         let (mean, long) = self.sending(product);
@@ -541,9 +536,7 @@
                 Some(source) => (host, Some(source), Aim::Fetch),
                 None if look => (host, None, Aim::Look),
                 // Nothing more is to be had from a second look.
-                None if !graced && open.had(Aim::Fetch) + open.had(Aim::Look) + open.had(Aim::Held) > 0 => {
-                    return None
-                }
+                None if !graced && !open.legs.is_empty() => return None,
                 None => (host, None, Aim::Held),
             }
         };
@@ -597,16 +590,11 @@
         let others = self.others_fill(leg.plan.source, leg.sent);
         let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
         let culprit = Some(leg.plan.host).filter(mute).or(stuck);
-        // A leg without a source waits for nothing but the cache: lost there, it goes to the same cache again.
-        let lost = leg.plan.source.is_none() && self.hosts.contains_key(&leg.plan.host);
-        let lost = lost && self.load(leg.plan.host) <= CALM_LOAD;
-        if !open.redoable || !self.told.cancel || culprit.is_none() && !lost {
-            return;
-        }
-        culprit.into_iter().for_each(|culprit| self.mark(culprit, 0.0, 1.0));
+        let Some(culprit) = culprit.filter(|_| open.redoable && self.told.cancel) else { return };
+        self.mark(culprit, 0.0, 1.0);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.legs[no].wanted = false;
-        open.failed.extend(culprit);
+        open.failed.push(culprit);
         self.emit(id);
     }
 
@@ -659,8 +647,7 @@
         !self.hosts.values().any(well)
     }
 
-    /// The first parent in hash order that can serve, else the origin. None while no source fills: waiting fills
-    /// would crowd the hits out of the caches and push the origin further down.
+    /// The first parent in hash order that can serve, else the origin.
     fn pick_source(&self, open: &Open) -> Option<HostId> {
         let (mean, _) = self.sending(open.query.product);
         let mut sources = self.order(Role::Parent, &open.query);
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -1,7 +1,7 @@
-//! Plays the text scenarios. A line is `facts`, `at TIME EVENT`, `expect ACTION` or `times N` .. `done`; `#`
-//! starts a comment. Every action of an event must be expected, in order, or dropped by `drop`; timers run by
-//! themselves. A host is a name (c cache, p parent, o origin, then a number), `$x` (bound when first seen,
-//! the same from then on), `!$x` (another one) or `any`; `%` in an id is the round of the loop.
+//! Plays the text scenarios. A line is `facts ..` or `at TIME EVENT`, each with `-> ACTION` for every action that
+//! must come of it, in order (`-> drop` takes any that are left), or `Nx` before a line, or `times N` .. `done`; `#` is a comment.
+//! Timers run by themselves. A host is a name (c cache, p parent, o origin, then a number), `$x` (bound when first
+//! seen, the same from then on), `!$x` (another one) or `any`; `%` in an id is the round of the loop.
 
 use rockflow::interface::*;
 use rockflow::Dispatcher;
@@ -109,31 +109,28 @@
     }
 }
 
-fn outcome(word: &str) -> Option<Outcome> {
-    Some(match word {
-        "ok" => Outcome::Succeeded,
-        "error" => Outcome::HostError,
-        "away" => Outcome::TurnedAway,
-        "timeout" => Outcome::TimedOut,
-        "unreached" => Outcome::NotConnected,
-        "broken" => Outcome::Broken,
-        "off" => Outcome::CalledOff,
-        "unsent" => Outcome::NotSent,
-        "miss" => Outcome::Miss,
-        _ => return None,
-    })
-}
+const OUTCOMES: [(&str, Outcome); 9] = [
+    ("ok", Outcome::Succeeded),
+    ("error", Outcome::HostError),
+    ("away", Outcome::TurnedAway),
+    ("timeout", Outcome::TimedOut),
+    ("unreached", Outcome::NotConnected),
+    ("broken", Outcome::Broken),
+    ("off", Outcome::CalledOff),
+    ("unsent", Outcome::NotSent),
+    ("miss", Outcome::Miss),
+];
+const NOTES: [(&str, Note); 6] = [
+    ("hit", Note::Hit),
+    ("filled", Note::Filled),
+    ("source-refused", Note::SourceRefused),
+    ("source-unreached", Note::SourceUnreached),
+    ("no-place", Note::NoPlace),
+    ("origin-failed", Note::OriginFailed),
+];
 
-fn note(word: &str) -> Option<Note> {
-    Some(match word {
-        "hit" => Note::Hit,
-        "filled" => Note::Filled,
-        "source-refused" => Note::SourceRefused,
-        "source-unreached" => Note::SourceUnreached,
-        "no-place" => Note::NoPlace,
-        "origin-failed" => Note::OriginFailed,
-        _ => return None,
-    })
+fn named<T: Copy>(line: &[&str], names: &[(&str, T)]) -> Option<T> {
+    names.iter().find(|(name, _)| line.contains(name)).map(|(_, value)| *value)
 }
 
 #[derive(Default)]
@@ -202,10 +199,10 @@
                     .and_then(|legs| legs.get(leg.0 as usize))
                     .copied()
                     .unwrap_or(HostId(0)),
-                outcome: line.iter().find_map(|word| outcome(word)).expect("an outcome"),
+                outcome: named(line, &OUTCOMES).expect("an outcome"),
                 took: Duration::from_millis(50),
                 over: line.contains(&"over"),
-                note: line.iter().find_map(|word| note(word)).unwrap_or(Note::Untold),
+                note: named(line, &NOTES).unwrap_or(Note::Untold),
                 fill_wait: Duration::ZERO,
             }),
             "left" => Event::ClientLeft(query),
@@ -230,6 +227,10 @@
     }
 
     fn expect(&mut self, line: &[&str]) -> Result<(), String> {
+        if line[0] == "drop" {
+            self.actions.clear();
+            return Ok(());
+        }
         let action = self.actions.pop_front().ok_or("no action came")?;
         let is = |query: QueryId| line.get(1).is_some_and(|word| *word == format!("q{}", query.0));
         let as_told = match &action {
@@ -275,18 +276,11 @@
             }
             "at" => {
                 let now = span(line[1]);
-                let before = self.actions.len();
                 self.pass(now);
-                if before > 0 {
-                    return Err(format!("not expected: {:?}", self.actions));
-                }
                 if let Some(event) = self.event(&line[2..]) {
                     self.handle(now, event);
                 }
             }
-            "expect" => self.expect(&line[1..])?,
-            "drop" => self.actions.clear(),
-            "forget" => self.bound.clear(),
             other => return Err(format!("no such line: {other}")),
         }
         Ok(())
@@ -295,21 +289,24 @@
 
 /// The lines with their numbers, loops unrolled.
 fn unroll(text: &str) -> Vec<(usize, String)> {
-    let (mut lines, mut round) = (Vec::new(), None);
+    let (mut lines, mut body, mut times) = (Vec::new(), Vec::new(), 1);
     for (at, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
-        if let Some(times) = line.strip_prefix("times ") {
-            round = Some((times.parse::<usize>().expect("a number of rounds"), Vec::new()));
-        } else if line == "done" {
-            let (times, body) = round.take().expect("a loop to end");
-            for i in 0..times {
-                lines.extend(
-                    body.iter().map(|(at, line): &(usize, String)| (*at, line.replace('%', &i.to_string()))),
-                );
-            }
-        } else if !line.is_empty() {
-            let into = round.as_mut().map_or(&mut lines, |(_, body)| body);
-            into.push((at + 1, line.to_string()));
+        let single = line.split_once("x ").and_then(|(n, rest)| Some((n.parse().ok()?, rest)));
+        if let Some(rounds) = line.strip_prefix("times ") {
+            times = rounds.parse().expect("a number of rounds");
+            continue;
+        } else if let Some((rounds, rest)) = single {
+            times = rounds;
+            body.push((at + 1, rest));
+        } else if line != "done" && !line.is_empty() {
+            body.push((at + 1, line));
+        }
+        if times == 1 || line == "done" || single.is_some() {
+            let round =
+                |i: usize| body.iter().map(move |(at, line)| (*at, line.replace('%', &i.to_string())));
+            lines.extend((0..times).flat_map(round));
+            (body, times) = (Vec::new(), 1);
         }
     }
     lines
@@ -335,14 +332,13 @@
     for part in text.split("\n---\n") {
         let mut player = Player::default();
         for (at, line) in unroll(part) {
-            let words: Vec<&str> = line.split_whitespace().collect();
-            if let Err(why) = player.play(&words) {
-                panic!(
-                    "{name}, in the part that starts {:?}, line {at} ({line}): {why}",
-                    part.lines().next()
-                );
+            let told = |why| format!("{name}, {:?}, line {at} ({line}): {why}", part.lines().next());
+            let mut steps = line.split("->").map(|step| step.split_whitespace().collect::<Vec<_>>());
+            player.play(&steps.next().expect("an event")).unwrap_or_else(|why| panic!("{}", told(why)));
+            for step in steps {
+                player.expect(&step).unwrap_or_else(|why| panic!("{}", told(why)));
             }
+            assert!(player.actions.is_empty(), "{}", told(format!("not expected: {:?}", player.actions)));
         }
-        assert!(player.actions.is_empty(), "{name}: left over: {:?}", player.actions);
     }
 }
