--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -586,7 +586,9 @@
         let Some(open) = self.open.get(&id).filter(|open| !open.begun) else { return };
         let Some(leg) = open.legs.get(no).filter(|leg| leg.present == Present::Out) else { return };
         let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
-        let failing = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= 1.0);
+        let failing = |id: &HostId| {
+            self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= SICK_FROM * SICK_SHARE)
+        };
         let others = self.others_fill(leg.plan.source, leg.sent);
         let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
         let culprit = Some(leg.plan.host).filter(mute).or(stuck);
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -247,7 +247,7 @@
                 });
                 let under = get("under").is_none_or(|text| leg.limit.is_some_and(|limit| limit < span(text)));
                 let renew = get("renew").is_none_or(|text| leg.renew == (text == "yes"));
-                let keep = get("keep").is_none_or(|text| (leg.keep != Keep::Not) == (text == "yes"));
+                let keep = get("keep").is_none_or(|text| format!("{:?}", leg.keep).to_lowercase() == text);
                 is(*query) && self.matches(line[2], leg.host) && from && oldest && under && renew && keep
             }
             Action::CallOff { query, leg } if line[0] == "off" => {
