--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -578,21 +578,15 @@
     }
 
     /// Guards against hosts that take queries and answer none: a leg over its ordinary time at a host that has
-    /// answered nothing since is called off and planned anew; so is one whose source failed before and has filled
-    /// nothing since, while others have. Slow but answering hosts are left alone. Harm: on a host with next to no
-    /// traffic one slow leg looks like silence.
+    /// answered nothing since is called off and planned anew. Slow but answering hosts are left alone. Harm: on
+    /// a host with next to no traffic one slow leg looks like silence.
     fn look_into(&mut self, timer: TimerId) {
         let Some((id, no)) = self.timers.remove(&timer) else { return };
         let Some(open) = self.open.get(&id).filter(|open| !open.begun) else { return };
         let Some(leg) = open.legs.get(no).filter(|leg| leg.present == Present::Out) else { return };
         let mute = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.last_answer <= leg.sent);
-        let failing = |id: &HostId| {
-            self.hosts.get(id).is_some_and(|host| host.bad.read(self.now) >= SICK_FROM * SICK_SHARE)
-        };
-        let others = self.others_fill(leg.plan.source, leg.sent);
-        let stuck = leg.plan.source.filter(|id| others && mute(id) && failing(id));
-        let culprit = Some(leg.plan.host).filter(mute).or(stuck);
-        let Some(culprit) = culprit.filter(|_| open.redoable && self.told.cancel) else { return };
+        let culprit = Some(leg.plan.host).filter(|id| mute(id) && open.redoable && self.told.cancel);
+        let Some(culprit) = culprit else { return };
         self.mark(culprit, 0.0, 1.0);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.legs[no].wanted = false;
