While fills are scarce the look asks the parent, too, for what it holds

A parent asked only for what it holds answers at once and costs the vault nothing. Guards against anything slow behind the parents. Harm: where parents themselves hang, each look waits for one.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -530,11 +530,14 @@
             let full = scarce && self.fills_out as f64 >= self.fill_limit;
             // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a slow
             // source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
-            let bare = look || full || crowded && told.cacheable;
+            let bare = !look && full || crowded && told.cacheable;
             match if bare { None } else { self.pick_source(open) } {
+                // The look asks the parent, too, for no more than it holds.
+                source if look => {
+                    (host, source.filter(|id| self.hosts[id].listing.role == Role::Parent), Aim::Look)
+                }
                 Some(source) if source == host => (host, None, Aim::Fetch),
                 Some(source) => (host, Some(source), Aim::Fetch),
-                None if look => (host, None, Aim::Look),
                 // Nothing more is to be had from a second look.
                 None if !graced && !open.legs.is_empty() => return None,
                 None => (host, None, Aim::Held),
@@ -558,7 +561,7 @@
             },
             oldest: oldest.filter(|_| told.cacheable),
             join: self.told.joins && told.cacheable && aim == Aim::Fetch,
-            held_at_source: false,
+            held_at_source: aim == Aim::Look,
             unkept_at_parent: false,
             renew: told.cacheable && told.fresh > Duration::ZERO && aim == Aim::Fetch,
         };
@@ -569,8 +572,8 @@
     /// the room is before the due time, else before the client gives up.
     fn leg_limit(&self, open: &Open, aim: Aim) -> Option<Duration> {
         let told = &self.rows[open.query.product.0].told;
-        let retry = told.grace > Duration::ZERO && aim != Aim::Held && open.had(Aim::Held) == 0;
-        let until = if retry { open.due } else { open.ends };
+        let graced = told.grace > Duration::ZERO && aim != Aim::Held && open.had(Aim::Held) == 0;
+        let until = if graced { open.due } else { open.ends };
         let room = Duration::from_secs_f64(LEG_SENDING * open.work) + told.due.mul_f64(RETRY_FIXED);
         let room = if aim == Aim::Held { Duration::ZERO } else { room };
         let limit = until.saturating_sub(self.now + room).max(open.ordinary);
@@ -688,7 +691,8 @@
                 host.carried.add(now, mean);
             }
         }
-        self.fills_out = self.fills_out.saturating_sub(usize::from(plan.source.is_some()));
+        let fill_leg = plan.source.is_some() && !plan.held_at_source;
+        self.fills_out = self.fills_out.saturating_sub(usize::from(fill_leg));
         if end.outcome == Outcome::Succeeded && !(sized && self.told.stream_kb_per_s > 0.0) {
             self.learn_sending(product, end.took.as_secs_f64());
         }
@@ -704,7 +708,7 @@
         // Good and bad to the host, good and bad to the source, and what this query leaves out.
         let (good, bad, source_good, source_bad, failed) = match (end.outcome, end.note) {
             (Outcome::Succeeded, _) => (1.0, 0.0, fill, 0.0, None),
-            (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source),
+            (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source.filter(|_| fill_leg)),
             (Outcome::CalledOff, _) => (0.0, 0.0, 0.0, 0.0, None),
             (Outcome::NotSent, _) | (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
             (_, Note::SourceRefused | Note::SourceUnreached | Note::SourceLacks | Note::OriginFailed) => {
@@ -726,7 +730,7 @@
             Outcome::TimedOut => !silent && !self.others_fill(source, sent),
             _ => source_bad > 0.0 && self.shared_trouble(),
         };
-        if source.is_some() && (late || end.outcome == Outcome::Succeeded) {
+        if fill_leg && (late || end.outcome == Outcome::Succeeded) {
             self.weigh_fill(!late);
         }
         if let Some(source) = source.filter(|_| source_good + source_bad > 0.0) {
@@ -791,7 +795,7 @@
         }
         let (now, (mean, _)) = (self.now, self.sending(product));
         for plan in sent {
-            self.fills_out += usize::from(plan.source.is_some());
+            self.fills_out += usize::from(plan.source.is_some() && !plan.held_at_source);
             self.hosts.entry(plan.host).and_modify(|host| host.out += 1);
             for id in [Some(plan.host), plan.source].into_iter().flatten() {
                 // The worse the record the rarer the trials, so that several bad hosts don't live on trials.
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -247,8 +247,16 @@
                 });
                 let under = get("under").is_none_or(|text| leg.limit.is_some_and(|limit| limit < span(text)));
                 let renew = get("renew").is_none_or(|text| leg.renew == (text == "yes"));
+                let held = get("held").is_none_or(|text| leg.held_at_source == (text == "yes"));
                 let keep = get("keep").is_none_or(|text| format!("{:?}", leg.keep).to_lowercase() == text);
-                is(*query) && self.matches(line[2], leg.host) && from && oldest && under && renew && keep
+                is(*query)
+                    && self.matches(line[2], leg.host)
+                    && from
+                    && oldest
+                    && under
+                    && renew
+                    && keep
+                    && held
             }
             Action::CallOff { query, leg } if line[0] == "off" => {
                 is(*query) && leg.0 as u64 == number(line, "leg", 0)
