Held copies are asked for up to half over the calm load at least

Symptom: bundles refused, long legs, nothing on the list. Cause: where sizes are untold the sending time is learned from answers, grows with crowding and lowers the load up to which a crowded cache is still asked. Told apart by a tap: most dismissals came before any leg. Guards against any overestimate of sending time, also for single large objects.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -625,7 +625,7 @@
             return Some((idle, false));
         }
         let most = CROWD_PART * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
-        first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
+        first.filter(|id| self.load(*id) <= most.max(CALM_LOAD + 1.0)).map(|id| (id, true))
     }
 
     fn seen(&self, query: &Query) -> f64 {
