--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -30,8 +30,8 @@
 const FRESH_GAIN: f64 = 0.5;
 /// Load, over what a cache's link carries at full pace, up to which the hash order stands.
 const CALM_LOAD: f64 = 2.0;
-/// Part of the time to the due time that a crowded cache may be expected to take.
-const CROWD_PART: f64 = 0.8;
+/// Load up to which a crowded cache is still asked for what it holds.
+const HELD_LOAD: f64 = 3.0;
 /// Share of late answers among legs with a source at which fills count as scarce; their number then starts at
 /// this part of those out, and falls to this part with each late one.
 const SCARCE_SHARE: f64 = 0.15;
@@ -607,7 +607,7 @@
     /// The cache for a leg, and whether it is too crowded for a fill. Avoided caches are left out but for
     /// trials; if most look bad the trouble may lie behind them all, and none is shut out.
     fn pick_cache(&self, open: &Open) -> Option<(HostId, bool)> {
-        let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
+        let query = &open.query;
         let (mean, _) = self.sending(query.product);
         let order = self.order(Role::Cache, query);
         let shut = order.iter().filter(|id| self.sick(**id)).count() * 2 <= order.len();
@@ -624,8 +624,7 @@
         if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= 1.0) {
             return Some((idle, false));
         }
-        let most = CROWD_PART * (told.stretch + told.due.as_secs_f64() / open.work.max(1e-3));
-        first.filter(|id| self.load(*id) <= most.max(CALM_LOAD + 1.0)).map(|id| (id, true))
+        first.filter(|id| self.load(*id) <= HELD_LOAD).map(|id| (id, true))
     }
 
     fn seen(&self, query: &Query) -> f64 {
