--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -13,7 +13,6 @@
 const POPULARITY_MEMORY: f64 = 4.0;
 /// An object is hot when its share of the traffic reaches this part of an even share for each cache.
 const HOT_SHARE: f64 = 0.05;
-/// What is seen this often lately is asked for again, not once only.
 const SEEN_AGAIN: f64 = 1.2;
 /// Caches that a hot object reaches, fewer where that would be all.
 const HOT_WIDTH: usize = 2;
@@ -30,8 +29,8 @@
 const FRESH_GAIN: f64 = 0.5;
 /// Load, over what a cache's link carries at full pace, up to which the hash order stands.
 const CALM_LOAD: f64 = 2.0;
-/// Load up to which a crowded cache is still asked for what it holds.
-const HELD_LOAD: f64 = 3.0;
+/// Part of the time to the due time that a crowded cache may be expected to take.
+const CROWD_PART: f64 = 0.8;
 /// Share of late answers among legs with a source at which fills count as scarce; their number then starts at
 /// this part of those out, and falls to this part with each late one.
 const SCARCE_SHARE: f64 = 0.15;
@@ -129,7 +128,7 @@
     redoable: bool,
     due: Duration,
     ends: Duration,
-    /// Sending time: told, or the mean of the product; and how long an ordinary leg takes, a fill included.
+    /// Sending time, told or the product's mean; how long an ordinary leg takes, a fill included.
     work: f64,
     ordinary: Duration,
     legs: Vec<LegState>,
@@ -210,7 +209,6 @@
         }
     }
 
-    /// What is to be done before the first event.
     pub fn start(&mut self) -> Vec<Action> {
         self.told.ask_within.map(|_| Action::Subscribe { on: true }).into_iter().collect()
     }
@@ -538,7 +536,6 @@
                 }
                 Some(source) if source == host => (host, None, Aim::Fetch),
                 Some(source) => (host, Some(source), Aim::Fetch),
-                // Nothing more is to be had from a second look.
                 None if !graced && !open.legs.is_empty() => return None,
                 None => (host, None, Aim::Held),
             }
@@ -607,7 +604,7 @@
     /// The cache for a leg, and whether it is too crowded for a fill. Avoided caches are left out but for
     /// trials; if most look bad the trouble may lie behind them all, and none is shut out.
     fn pick_cache(&self, open: &Open) -> Option<(HostId, bool)> {
-        let query = &open.query;
+        let (query, told) = (&open.query, &self.rows[open.query.product.0].told);
         let (mean, _) = self.sending(query.product);
         let order = self.order(Role::Cache, query);
         let shut = order.iter().filter(|id| self.sick(**id)).count() * 2 <= order.len();
@@ -624,7 +621,11 @@
         if let Some(idle) = usable.iter().copied().find(|id| self.load(*id) <= 1.0) {
             return Some((idle, false));
         }
-        first.filter(|id| self.load(*id) <= HELD_LOAD).map(|id| (id, true))
+        // A sending time learned from answers grows with crowding: half the due time stands in for an untold size.
+        let due = told.due.as_secs_f64();
+        let work = if query.size_kb > 0.0 { open.work } else { due * LEG_FIXED };
+        let most = CROWD_PART * (told.stretch + due / work.max(1e-3));
+        first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
     }
 
     fn seen(&self, query: &Query) -> f64 {
