--- a/crates/rockflow-benchlink/src/lib.rs
+++ b/crates/rockflow-benchlink/src/lib.rs
@@ -1,11 +1,10 @@
 //! Translates the simulator's batches into events and the decisions' actions into replies. Decides nothing.
 
-pub mod facts;
 pub mod wire;
 
-use facts::Facts;
 use rockflow::interface::*;
 use rockflow::Dispatcher;
+use rockflow_facts::{Facts, Pairs};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::time::Duration;
@@ -165,7 +164,7 @@
         let seed = r.u64()?;
         let length = r.u32()? as usize;
         let text = String::from_utf8_lossy(r.take(length)?);
-        let instance = match facts::parse(&text) {
+        let instance = match rockflow_facts::parse(&Pairs::from_lines(&text)) {
             Ok(facts) => {
                 let mut dispatcher = Dispatcher::new(facts.deployment.clone(), seed);
                 dispatcher.start().iter().for_each(|action| part.put(action));
@@ -281,7 +280,7 @@
         }
         267 => {
             let object = Some(r.u64()?).filter(|object| *object != 0).map(ObjectId);
-            Event::Purged { object, group: GroupId(u64::from(r.u16()?)), ago: r.micros()? }
+            Event::Purged { object, group: Some(GroupId(u64::from(r.u16()?))), ago: r.micros()? }
         }
         268 => {
             let (from, n) = (r.u16()?, r.u16()?);
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -0,0 +1,183 @@
+//! The actor of a client's connection: one query at a time, exactly one answer to each.
+
+use crate::clock::Clock;
+use crate::mailbox::{Mailbox, Wake};
+use crate::module::Word;
+use may::io::WaitIo;
+use may::net::TcpStream;
+use rockflow::interface::QueryId;
+use rockflow_protocol::front::{self, Answer, Request};
+use rockflow_protocol::Buffer;
+use std::io::{ErrorKind, Read, Write};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use tracing::debug;
+
+/// What all client connections share.
+pub struct Door {
+    pub clock: Clock,
+    pub module: Arc<Mailbox<Word>>,
+    pub module_words: usize,
+    /// Queries can be decided.
+    pub ready: AtomicBool,
+    /// Connections are closed as soon as no query is open on them.
+    pub closing: AtomicBool,
+    pub next_query: AtomicU64,
+    pub open: AtomicUsize,
+}
+
+/// The query that is open on the connection, and whether the client keeps the connection after it.
+struct Open {
+    query: QueryId,
+    keep: bool,
+}
+
+struct Client<'a> {
+    door: &'a Door,
+    stream: TcpStream,
+    mail: Arc<Mailbox<(QueryId, Answer)>>,
+    buffer: Buffer,
+    open: Option<Open>,
+    /// What is being written, how much of it is out, and whether the connection ends after it.
+    out: Vec<u8>,
+    body: Vec<u8>,
+    written: usize,
+    last: bool,
+}
+
+pub fn run(stream: TcpStream, door: &Door) {
+    let _ = stream.set_nodelay(true);
+    let mail = Mailbox::new();
+    mail.wake_by(Wake::Io(stream.waker()));
+    let mut client = Client {
+        door,
+        stream,
+        mail,
+        // One head, and the start of the next.
+        buffer: Buffer::new(2 * front::MOST_HEAD),
+        open: None,
+        out: Vec::new(),
+        body: Vec::new(),
+        written: 0,
+        last: false,
+    };
+    let ended = client.serve();
+    if let Some(open) = client.open.take() {
+        debug!(query = open.query.0, ended, "client left");
+        door.module.send(Word::Left(open.query));
+        door.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Client<'_> {
+    /// Returns why the connection is over.
+    fn serve(&mut self) -> &'static str {
+        loop {
+            let mut moved = false;
+            while let Some((query, answer)) = self.mail.take() {
+                if self.open.as_ref().is_some_and(|open| open.query == query) {
+                    let keep = self.open.take().is_some_and(|open| open.keep);
+                    self.door.open.fetch_sub(1, Ordering::Relaxed);
+                    self.answer(answer, keep);
+                    moved = true;
+                }
+            }
+            if self.open.is_none() && !self.writing() {
+                moved |= self.read_head();
+            }
+            match self.write() {
+                Err(_) => return "write failed",
+                Ok(_) if self.last && !self.writing() => return "closed",
+                Ok(wrote) => moved |= wrote,
+            }
+            match self.fill() {
+                Some(Ok(0)) => return "end of stream",
+                Some(Ok(_)) => moved = true,
+                Some(Err(_)) => return "read failed",
+                None => {}
+            }
+            if !moved {
+                self.stream.wait_io();
+            }
+        }
+    }
+
+    fn writing(&self) -> bool {
+        self.written < self.out.len() + self.body.len()
+    }
+
+    /// Reads on even while a query is open: only so it shows that a client has left.
+    fn fill(&mut self) -> Option<std::io::Result<usize>> {
+        let room = self.buffer.room()?;
+        match self.stream.inner().read(room) {
+            Ok(n) => {
+                self.buffer.add(n);
+                Some(Ok(n))
+            }
+            Err(what) if what.kind() == ErrorKind::WouldBlock => None,
+            Err(what) if what.kind() == ErrorKind::Interrupted => Some(Ok(1)),
+            Err(what) => Some(Err(what)),
+        }
+    }
+
+    /// Whether a request was taken from the buffer.
+    fn read_head(&mut self) -> bool {
+        if self.buffer.filled().is_empty() {
+            return false;
+        }
+        let Some(head) = front::decode(self.buffer.filled()) else { return false };
+        self.buffer.consume(head.length);
+        let keep = head.keep && !self.door.closing.load(Ordering::Relaxed);
+        match head.request {
+            Request::Health if self.door.ready.load(Ordering::Relaxed) => self.answer(Answer::Well, keep),
+            Request::Health => self.answer(Answer::Wrong(503, "Not Ready"), keep),
+            Request::Wrong(status, why) => {
+                debug!(status, why, "request not taken");
+                self.answer(Answer::Wrong(status, why), keep);
+            }
+            Request::Ask(_) if self.door.module.len() >= self.door.module_words => {
+                self.answer(Answer::Dismissed { pause: None }, keep)
+            }
+            Request::Ask(ask) => {
+                let query = QueryId(self.door.next_query.fetch_add(1, Ordering::Relaxed));
+                self.open = Some(Open { query, keep: head.keep });
+                self.door.open.fetch_add(1, Ordering::Relaxed);
+                let (client, arrived) = (self.mail.clone(), self.door.clock.now());
+                self.door.module.send(Word::Asked { query, ask, client, arrived });
+            }
+        }
+        true
+    }
+
+    fn answer(&mut self, answer: Answer, keep: bool) {
+        let keep = keep && !self.door.closing.load(Ordering::Relaxed);
+        self.out = front::encode(&answer, keep);
+        self.body = if let Answer::Succeeded { body, .. } = answer { body } else { Vec::new() };
+        (self.written, self.last) = (0, !keep);
+    }
+
+    /// Whether anything went out.
+    fn write(&mut self) -> std::io::Result<bool> {
+        let mut wrote = false;
+        while self.writing() {
+            let head = self.out.len();
+            let rest = if self.written < head {
+                &self.out[self.written..]
+            } else {
+                &self.body[self.written - head..]
+            };
+            match self.stream.inner().write(rest) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.written += n;
+                    wrote = true;
+                }
+                Err(what) if what.kind() == ErrorKind::WouldBlock => return Ok(wrote),
+                Err(what) if what.kind() == ErrorKind::Interrupted => {}
+                Err(what) => return Err(what),
+            }
+        }
+        (self.out, self.body, self.written) = (Vec::new(), Vec::new(), 0);
+        Ok(wrote)
+    }
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -0,0 +1,17 @@
+//! The rockflow dispatcher on sockets, to be embedded: actors on `may` that carry what the decisions say.
+//! `Service` is the program from start to exit; each other file holds one actor or one thing they share.
+
+pub mod board;
+pub mod caps;
+pub mod client;
+pub mod clock;
+pub mod host;
+pub mod list;
+pub mod listener;
+pub mod mailbox;
+pub mod module;
+pub mod service;
+pub mod told;
+
+pub use service::{Phase, Service};
+pub use told::Told;
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -0,0 +1,32 @@
+//! Takes in clients' connections, up to the cap; past it they wait unaccepted.
+
+use crate::client::{self, Door};
+use may::net::TcpListener;
+use may::sync::Semphore;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::warn;
+
+/// After a failed accept, for example with no descriptor left.
+const PAUSE: Duration = Duration::from_millis(10);
+
+pub fn run(listener: TcpListener, door: Arc<Door>, cap: usize) {
+    let seats = Arc::new(Semphore::new(cap));
+    loop {
+        seats.wait();
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let (door, seats) = (door.clone(), seats.clone());
+                may::go!(move || {
+                    client::run(stream, &door);
+                    seats.post();
+                });
+            }
+            Err(what) => {
+                warn!(%what, "accept failed");
+                seats.post();
+                may::coroutine::sleep(PAUSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -0,0 +1,380 @@
+//! The actor of the module: the only holder of the decisions. It orders events, runs timers and the legs'
+//! time limits, and carries out actions. It decides nothing.
+
+use crate::clock::Clock;
+use crate::host::{Host, LegKey, Order};
+use crate::list::{id_of, Entry};
+use crate::mailbox::{Mailbox, Wake};
+use may::coroutine;
+use rockflow::interface::*;
+use rockflow::Dispatcher;
+use rockflow_protocol::front::{Answer, Ask};
+use rockflow_protocol::hostline::{self, Want};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{debug, error, info};
+
+/// What reaches the module.
+pub enum Word {
+    Asked {
+        query: QueryId,
+        ask: Box<Ask>,
+        client: Arc<Mailbox<(QueryId, Answer)>>,
+        arrived: Duration,
+    },
+    Left(QueryId),
+    Answered {
+        key: LegKey,
+        answer: hostline::Answer,
+    },
+    /// A leg ended with no answer.
+    Fell {
+        key: LegKey,
+        outcome: Outcome,
+    },
+    Listed {
+        scope: ListScope,
+        entries: Vec<Entry>,
+    },
+    Purged(Event),
+}
+
+struct LegOut {
+    host: HostId,
+    sent: Duration,
+    out: bool,
+}
+
+struct Open {
+    ask: Box<Ask>,
+    client: Arc<Mailbox<(QueryId, Answer)>>,
+    ends: Duration,
+    answered: bool,
+    legs: Vec<LegOut>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Leg(LegKey),
+    /// The module is late with a query's answer.
+    Outer(QueryId),
+    Timer(TimerId),
+}
+
+struct Peer {
+    entry: Entry,
+    mail: Option<Arc<Mailbox<Order>>>,
+}
+
+/// What the module's actor is given.
+pub struct Given {
+    pub clock: Clock,
+    pub deployment: Deployment,
+    pub products: Vec<String>,
+    pub seed: u64,
+    pub connect_limit: Duration,
+    pub idle_limit: Duration,
+    /// How late after a query's end its answer still counts.
+    pub slack: Duration,
+    pub mail: Arc<Mailbox<Word>>,
+}
+
+pub struct Module {
+    given: Given,
+    decisions: Dispatcher,
+    open: BTreeMap<QueryId, Open>,
+    peers: BTreeMap<HostId, Peer>,
+    due: BinaryHeap<Reverse<(Duration, Due)>>,
+    events: VecDeque<Event>,
+}
+
+impl Module {
+    /// With what is known at the start, so that the first query finds it decided by.
+    pub fn new(given: Given, known: Vec<Entry>, purges: Vec<Event>) -> Self {
+        let mut module = Module {
+            decisions: Dispatcher::new(given.deployment.clone(), given.seed),
+            given,
+            open: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            due: BinaryHeap::new(),
+            events: VecDeque::new(),
+        };
+        let actions = module.decisions.start();
+        actions.into_iter().for_each(|action| module.act(action));
+        module.list(ListScope::Remembered, known);
+        module.events.extend(purges);
+        module
+    }
+
+    pub fn run(mut self) {
+        self.given.mail.wake_by(Wake::Park(coroutine::current()));
+        loop {
+            self.decide();
+            if let Some(word) = self.given.mail.take() {
+                self.hear(word);
+            } else if let Some(Reverse((at, _))) = self.due.peek() {
+                let wait = at.saturating_sub(self.given.clock.now());
+                if wait > Duration::ZERO {
+                    coroutine::park_timeout(wait);
+                }
+            } else {
+                coroutine::park();
+            }
+            self.ring();
+        }
+    }
+
+    fn decide(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let actions = self.decisions.handle(self.given.clock.now(), event);
+            actions.into_iter().for_each(|action| self.act(action));
+        }
+    }
+
+    fn hear(&mut self, word: Word) {
+        match word {
+            Word::Asked { query, ask, client, arrived } => self.ask(query, ask, client, arrived),
+            Word::Left(query) => {
+                if let Some(open) = self.open.get_mut(&query) {
+                    open.answered = true;
+                    self.events.push_back(Event::ClientLeft(query));
+                    self.forget(query);
+                }
+            }
+            Word::Answered { key, answer } => self.answered(key, answer),
+            Word::Fell { key, outcome } => self.end_leg(key, outcome, None, Duration::ZERO),
+            Word::Listed { scope, entries } => self.list(scope, entries),
+            Word::Purged(event) => self.events.push_back(event),
+        }
+    }
+
+    fn ask(
+        &mut self,
+        id: QueryId,
+        ask: Box<Ask>,
+        client: Arc<Mailbox<(QueryId, Answer)>>,
+        arrived: Duration,
+    ) {
+        let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
+            return client.send((id, Answer::Wrong(404, "unknown class")));
+        };
+        let ends = arrived + ask.patience;
+        let query = Query {
+            id,
+            product: ProductId(product),
+            object: ObjectId(id_of(&ask.object)),
+            part: ask.part,
+            group: GroupId(ask.group),
+            time_left: ends.saturating_sub(self.given.clock.now()),
+            size_kb: ask.size_kb,
+        };
+        self.due.push(Reverse((ends + self.given.slack / 2, Due::Outer(id))));
+        self.open.insert(id, Open { ask, client, ends, answered: false, legs: Vec::new() });
+        self.events.push_back(Event::Asked(query));
+    }
+
+    fn list(&mut self, scope: ListScope, entries: Vec<Entry>) {
+        if scope != ListScope::Changes {
+            let named = |id: &HostId| entries.iter().any(|entry| entry.listing.host == *id);
+            let lost: Vec<_> = self.peers.keys().copied().filter(|id| !named(id)).collect();
+            lost.into_iter().for_each(|id| self.retire(id));
+        }
+        for entry in &entries {
+            let (id, gone) = (entry.listing.host, entry.listing.readiness == Readiness::Gone);
+            let moved = self.peers.get(&id).is_some_and(|peer| peer.entry.address != entry.address);
+            if gone || moved {
+                self.retire(id);
+            }
+            if !gone {
+                let mail = self.peers.remove(&id).and_then(|peer| peer.mail);
+                self.peers.insert(id, Peer { entry: entry.clone(), mail });
+            }
+        }
+        let hosts = entries.into_iter().map(|entry| entry.listing).collect();
+        self.events.push_back(Event::Listed { scope, hosts });
+    }
+
+    fn retire(&mut self, id: HostId) {
+        if let Some(mail) = self.peers.remove(&id).and_then(|peer| peer.mail) {
+            mail.send(Order::Retire);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { query, leg } => self.send(query, leg),
+            Action::CallOff { query, leg } => self.call_off((query, leg), Outcome::CalledOff),
+            Action::Dismiss { query, pause } => self.answer(query, Answer::Dismissed { pause }),
+            Action::Terminate { query } => self.answer(query, Answer::Terminated),
+            Action::SetTimer { timer, span } => {
+                self.due.push(Reverse((self.given.clock.now() + span, Due::Timer(timer))));
+            }
+            Action::Log(text) => info!(text, "module"),
+            other => debug!(?other, "no use on these sockets"),
+        }
+    }
+
+    fn send(&mut self, id: QueryId, leg: Leg) {
+        let now = self.given.clock.now();
+        let Some(open) = self.open.get_mut(&id) else {
+            return error!(query = id.0, "leg of an unknown query");
+        };
+        let key = (id, LegNo(open.legs.len() as u16));
+        let left = open.ends.saturating_sub(now);
+        let wait = leg.limit.map_or(left, |limit| limit.min(left));
+        open.legs.push(LegOut { host: leg.host, sent: now, out: true });
+        self.due.push(Reverse((now + wait, Due::Leg(key))));
+        let source =
+            leg.source.and_then(|source| self.peers.get(&source)).map(|peer| peer.entry.name.as_str());
+        let filled = source.is_some();
+        let line = Want {
+            id: &open.ask.call_id,
+            product: &open.ask.product,
+            object: &open.ask.object,
+            part: open.ask.part,
+            wait,
+            source,
+            rank: leg.keep as u8,
+            oldest: leg.oldest,
+            coalesce: filled && leg.join,
+            shallow: filled && leg.held_at_source,
+            transit: filled && leg.unkept_at_parent,
+            freshen: filled && leg.renew,
+            seen: open.ask.seen.as_deref(),
+        };
+        let order = Order::Want { key, id: open.ask.call_id.clone(), line: line.encode() };
+        match self.mail_of(leg.host) {
+            Some(mail) => mail.send(order),
+            None => self.end_leg(key, Outcome::NotSent, None, Duration::ZERO),
+        }
+    }
+
+    /// The mailbox of a listed host, whose actor starts with the first order.
+    fn mail_of(&mut self, id: HostId) -> Option<Arc<Mailbox<Order>>> {
+        let peer = self.peers.get_mut(&id)?;
+        let given = &self.given;
+        let entry = &peer.entry;
+        let mail = peer.mail.get_or_insert_with(|| {
+            let mail = Mailbox::new();
+            let host = Host {
+                name: entry.name.clone(),
+                address: entry.address,
+                connect_limit: given.connect_limit,
+                idle_limit: given.idle_limit,
+                clock: given.clock,
+                module: given.mail.clone(),
+                mail: mail.clone(),
+            };
+            may::go!(move || host.run());
+            mail
+        });
+        Some(mail.clone())
+    }
+
+    /// Gives a leg up: its host hears of it, and its outcome is known at once.
+    fn call_off(&mut self, key: LegKey, outcome: Outcome) {
+        let Some(open) = self.open.get(&key.0) else { return };
+        let Some(leg) = open.legs.get(usize::from(key.1 .0)).filter(|leg| leg.out) else { return };
+        let (host, id) = (leg.host, open.ask.call_id.clone());
+        if let Some(mail) = self.peers.get(&host).and_then(|peer| peer.mail.as_ref()) {
+            mail.send(Order::NeverMind { key, id });
+        }
+        self.end_leg(key, outcome, None, Duration::ZERO);
+    }
+
+    fn answered(&mut self, key: LegKey, answer: hostline::Answer) {
+        let Some(open) = self.open.get(&key.0) else { return };
+        if !open.legs.get(usize::from(key.1 .0)).is_some_and(|leg| leg.out) {
+            return;
+        }
+        let outcome = match answer.word {
+            hostline::Word::Data | hostline::Word::Unchanged => Outcome::Succeeded,
+            hostline::Word::Absent => Outcome::Miss,
+            hostline::Word::Full => Outcome::TurnedAway,
+            hostline::Word::Moot => Outcome::NotSent,
+            _ => Outcome::HostError,
+        };
+        let (note, waited) = (answer.note, answer.waited);
+        let tag = answer.tag;
+        match answer.word {
+            hostline::Word::Data => self.answer(key.0, Answer::Succeeded { tag, body: answer.body }),
+            hostline::Word::Unchanged => self.answer(key.0, Answer::Unchanged { tag }),
+            _ => {}
+        }
+        self.end_leg(key, outcome, note, waited);
+    }
+
+    /// The one final answer of a query; whatever would follow it is dropped.
+    fn answer(&mut self, id: QueryId, answer: Answer) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        open.client.send((id, answer));
+        self.forget(id);
+    }
+
+    fn end_leg(&mut self, key: LegKey, outcome: Outcome, note: Option<hostline::Note>, waited: Duration) {
+        let now = self.given.clock.now();
+        let Some(open) = self.open.get_mut(&key.0) else { return };
+        let Some(leg) = open.legs.get_mut(usize::from(key.1 .0)).filter(|leg| leg.out) else { return };
+        leg.out = false;
+        self.events.push_back(Event::LegEnded(LegEnd {
+            query: key.0,
+            leg: key.1,
+            host: leg.host,
+            outcome,
+            took: now.saturating_sub(leg.sent),
+            over: open.answered,
+            note: note.map_or(Note::Untold, told),
+            fill_wait: waited,
+        }));
+        self.forget(key.0);
+    }
+
+    /// Drops a query that is answered and has no leg out.
+    fn forget(&mut self, id: QueryId) {
+        if self.open.get(&id).is_some_and(|open| open.answered && open.legs.iter().all(|leg| !leg.out)) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Whatever is due by now.
+    fn ring(&mut self) {
+        let now = self.given.clock.now();
+        while let Some(Reverse((at, due))) = self.due.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.due.pop();
+            match due {
+                Due::Leg(key) => self.call_off(key, Outcome::TimedOut),
+                Due::Timer(timer) => self.events.push_back(Event::TimerDue(timer)),
+                Due::Outer(id) => {
+                    // Guards against a query that nothing answers: the module is told as if the client left.
+                    if self.open.get(&id).is_some_and(|open| !open.answered) {
+                        error!(query = id.0, "no answer from the module in time");
+                        self.answer(id, Answer::Terminated);
+                        self.events.push_back(Event::ClientLeft(id));
+                    }
+                }
+            }
+            self.decide();
+        }
+    }
+}
+
+fn told(note: hostline::Note) -> Note {
+    match note {
+        hostline::Note::Warm => Note::Hit,
+        hostline::Note::Fill => Note::Filled,
+        hostline::Note::DeepFill => Note::FilledByOrigin,
+        hostline::Note::Piggy => Note::Joined,
+        hostline::Note::Aged => Note::PastFresh,
+        hostline::Note::Bounced => Note::SourceRefused,
+        hostline::Note::Dropped => Note::SourceUnreached,
+        hostline::Note::Lacking => Note::SourceLacks,
+        hostline::Note::Jammed => Note::NoPlace,
+        hostline::Note::Backfire => Note::OriginFailed,
+    }
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -0,0 +1,121 @@
+//! The program from start to exit: its phases as named states of one object.
+
+use crate::board::Board;
+use crate::caps::Caps;
+use crate::client::Door;
+use crate::clock::Clock;
+use crate::list::{List, Reading};
+use crate::listener;
+use crate::mailbox::Mailbox;
+use crate::module::{Given, Module};
+use crate::told::Told;
+use may::coroutine::Builder;
+use may::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::info;
+
+/// In words of eight bytes: a connection's actor, and one that parses JSON.
+const STACK: usize = 0x2000;
+const BIG_STACK: usize = 0x20000;
+/// After a planned stop, new connections come for 0.4 s and queries on open ones for 0.2 s more.
+const STILL_COMING: Duration = Duration::from_millis(650);
+/// How often the last queries are looked for, and how long they may take besides their own time.
+const LOOK: Duration = Duration::from_millis(10);
+const LAST: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Actors are started; queries can't be decided yet.
+    Starting,
+    Serving,
+    /// A stop was asked for; what still comes is taken.
+    Leaving,
+    /// Nothing more comes; what was taken is answered.
+    Finishing,
+    Over,
+}
+
+pub struct Service {
+    phase: Phase,
+    door: Arc<Door>,
+    longest: Duration,
+}
+
+impl Service {
+    /// Sets the coroutines up; once in a process, before the first service.
+    pub fn set_up() {
+        may::config().set_workers(1).set_stack_size(STACK);
+    }
+
+    pub fn start(told: Told) -> std::io::Result<Service> {
+        let (clock, caps) = (Clock::start(), Caps::of(&told.limits));
+        let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
+        let door = Arc::new(Door {
+            clock,
+            module: mail.clone(),
+            module_words: caps.module_words,
+            ready: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            next_query: AtomicU64::new(1),
+            open: AtomicUsize::new(0),
+        });
+        let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
+        let mut service =
+            Service { phase: Phase::Starting, door: door.clone(), longest: longest.unwrap_or_default() };
+        let reading = Reading::new(clock, &told.facts, &told.wiring);
+        let (known, purges) = reading.known(&told.known.notices);
+        info!(name = told.name, listen = %told.listen, hosts = known.len(), rev = told.known.rev, ?caps, "starting");
+        let given = Given {
+            clock,
+            deployment: told.facts.deployment,
+            products: told.wiring.products.clone(),
+            seed: told.seed,
+            connect_limit: told.wiring.connect_limit,
+            idle_limit: told.wiring.idle_limit,
+            slack: told.wiring.answer_slack,
+            mail: mail.clone(),
+        };
+        let module = Module::new(given, known, purges);
+        let list = List { reading, mail: list_mail.clone(), module: mail };
+        let chance = oorandom::Rand64::new(u128::from(told.seed));
+        let board = Board { address: told.board, last: told.known.rev, list: list_mail, chance };
+        let listener = TcpListener::bind(told.listen)?;
+        spawn("module", BIG_STACK, move || module.run())?;
+        spawn("list", BIG_STACK, move || list.run())?;
+        spawn("board", BIG_STACK, move || board.run())?;
+        spawn("listener", STACK, move || listener::run(listener, door, caps.clients))?;
+        service.door.ready.store(true, Ordering::Relaxed);
+        service.enter(Phase::Serving);
+        Ok(service)
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        info!(from = ?self.phase, to = ?phase, open = self.door.open.load(Ordering::Relaxed), "phase");
+        self.phase = phase;
+    }
+
+    /// A planned stop, to its end; blocks the calling thread.
+    pub fn stop(&mut self) {
+        self.enter(Phase::Leaving);
+        std::thread::sleep(STILL_COMING);
+        self.enter(Phase::Finishing);
+        self.door.closing.store(true, Ordering::Relaxed);
+        let looks = (self.longest + LAST).as_millis() / LOOK.as_millis();
+        for _ in 0..looks {
+            if self.door.open.load(Ordering::Relaxed) == 0 {
+                break;
+            }
+            std::thread::sleep(LOOK);
+        }
+        // The last answers are in the sockets' hands once their actors have run.
+        std::thread::sleep(LOOK);
+        self.enter(Phase::Over);
+    }
+}
+
+fn spawn(name: &str, stack: usize, actor: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    // Safe as long as actors use no thread-local values across a wait and keep to their stacks.
+    unsafe { Builder::new().name(name.to_string()).stack_size(stack).spawn(actor).map(|_| ()) }
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/told.rs
@@ -0,0 +1,53 @@
+//! What a dispatcher is told at its start, read from its configuration. Every fault names its key.
+
+use rockflow_facts::{facts, wiring, Facts, Pairs, Wiring};
+use rockflow_protocol::board::Known;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    pub board: SocketAddr,
+    pub known: Known,
+    pub facts: Facts,
+    pub wiring: Wiring,
+}
+
+impl Told {
+    pub fn read(text: &str) -> Result<Told, String> {
+        let value: Value = serde_json::from_str(text).map_err(|what| format!("not JSON: {what}"))?;
+        let key = |path: &str| {
+            let found = path.split('.').try_fold(&value, |value, name| value.get(name));
+            found.ok_or_else(|| format!("{path} is missing"))
+        };
+        let word = |path: &str| key(path)?.as_str().ok_or_else(|| format!("{path} is no text"));
+        let address = |path: &str| {
+            word(path)?.parse::<SocketAddr>().map_err(|_| format!("{path} is no address with a port"))
+        };
+        let count = |path: &str| {
+            let count = key(path)?.as_f64().filter(|count| *count >= 1.0);
+            count.map(|count| count as usize).ok_or_else(|| format!("{path} is no count"))
+        };
+        let seed = u64::from_str_radix(word("seed")?, 16).map_err(|_| "seed is no hexadecimal number")?;
+        let pairs = Pairs::from_json(key("settings")?);
+        Ok(Told {
+            name: word("name")?.to_string(),
+            listen: address("listen")?,
+            seed,
+            limits: Limits { memory_mb: count("limits.memory_mb")?, sockets: count("limits.sockets")? },
+            board: address("board")?,
+            known: serde_json::from_value(key("known")?.clone()).map_err(|what| format!("known: {what}"))?,
+            facts: facts::parse(&pairs)?,
+            wiring: wiring::parse(&pairs)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rockflow-protocol/src/board.rs
@@ -0,0 +1,166 @@
+//! The notice board: its call, its stream of server-sent events, and the notices in them.
+
+use serde::Deserialize;
+
+/// The longest event that is read: a whole list of hosts.
+pub const MOST_EVENT: usize = 1 << 20;
+const MOST_HEADERS: usize = 32;
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Notice {
+    pub rev: u64,
+    pub pool: Option<Pool>,
+    pub flush: Option<Flush>,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Pool {
+    #[serde(default)]
+    pub reset: bool,
+    pub instances: Vec<Instance>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Lifecycle {
+    Active,
+    Leaving,
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    pub instance_id: String,
+    pub host_port: String,
+    pub zone: String,
+    pub machine_type: String,
+    #[serde(default)]
+    pub cell: u16,
+    pub lifecycle: Lifecycle,
+    #[serde(default)]
+    pub weight: f64,
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+/// A purge of an object, or of a collection: a group.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Flush {
+    pub asset: Option<String>,
+    pub collection: Option<u64>,
+    pub ms: u64,
+}
+
+/// What is held at the start: the notices up to the last number.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct Known {
+    pub rev: u64,
+    pub notices: Vec<Notice>,
+}
+
+pub fn call(host: &str, last: u64) -> Vec<u8> {
+    let fields = "Accept: text/event-stream\r\nConnection: close\r\n";
+    format!("GET /board/poll HTTP/1.1\r\nHost: {host}\r\nLast-Event-ID: {last}\r\n{fields}\r\n").into_bytes()
+}
+
+enum Stage {
+    Head,
+    /// Bytes till the end of the connection, or of the chunk.
+    Plain,
+    Size,
+    Chunk(usize),
+    ChunkEnd,
+    Over,
+}
+
+/// Takes what the board sends, in any split, and gives the notices in their order.
+pub struct Stream {
+    stage: Stage,
+    line: Vec<u8>,
+    data: String,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        Stream { stage: Stage::Head, line: Vec::new(), data: String::new() }
+    }
+}
+
+impl Stream {
+    /// Takes what it can of the bytes, says how many, and adds the notices that are whole.
+    pub fn take(&mut self, bytes: &[u8], notices: &mut Vec<Notice>) -> Result<usize, String> {
+        let mut at = 0;
+        while at < bytes.len() {
+            let rest = &bytes[at..];
+            match self.stage {
+                Stage::Head => {
+                    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+                    let mut head = httparse::Response::new(&mut headers);
+                    match head.parse(rest) {
+                        Ok(httparse::Status::Complete(length)) if head.code == Some(200) => {
+                            let chunked = head.headers.iter().any(|header| {
+                                header.name.eq_ignore_ascii_case("transfer-encoding")
+                                    && header.value.eq_ignore_ascii_case(b"chunked")
+                            });
+                            self.stage = if chunked { Stage::Size } else { Stage::Plain };
+                            at += length;
+                        }
+                        Ok(httparse::Status::Complete(_)) => return Err(format!("status {:?}", head.code)),
+                        Ok(httparse::Status::Partial) => return Ok(at),
+                        Err(what) => return Err(format!("head: {what}")),
+                    }
+                }
+                Stage::Plain => {
+                    self.text(rest, notices)?;
+                    at = bytes.len();
+                }
+                Stage::Size => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((length, size))) => {
+                        at += length;
+                        self.stage = if size == 0 { Stage::Over } else { Stage::Chunk(size as usize) };
+                    }
+                    Ok(httparse::Status::Partial) => return Ok(at),
+                    Err(_) => return Err("chunk size".to_string()),
+                },
+                Stage::Chunk(left) => {
+                    let n = left.min(rest.len());
+                    self.text(&rest[..n], notices)?;
+                    at += n;
+                    self.stage = if n == left { Stage::ChunkEnd } else { Stage::Chunk(left - n) };
+                }
+                Stage::ChunkEnd => {
+                    if rest.len() < 2 {
+                        return Ok(at);
+                    }
+                    at += 2;
+                    self.stage = Stage::Size;
+                }
+                Stage::Over => return Ok(bytes.len()),
+            }
+        }
+        Ok(at)
+    }
+
+    fn text(&mut self, bytes: &[u8], notices: &mut Vec<Notice>) -> Result<(), String> {
+        for byte in bytes {
+            if *byte != b'\n' {
+                self.line.push(*byte);
+                if self.line.len() + self.data.len() > MOST_EVENT {
+                    return Err("an event without end".to_string());
+                }
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            let line =
+                std::str::from_utf8(&line).map_err(|_| "a line that is no text")?.trim_end_matches('\r');
+            if let Some(data) = line.strip_prefix("data:") {
+                self.data += data.strip_prefix(' ').unwrap_or(data);
+            } else if line.is_empty() && !self.data.is_empty() {
+                let data = std::mem::take(&mut self.data);
+                notices.push(serde_json::from_str(&data).map_err(|what| format!("event: {what}"))?);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rockflow-protocol/src/lib.rs
@@ -0,0 +1,11 @@
+//! Codecs of the dispatcher's three protocols, without I/O: bytes in, messages out, and the other way round.
+
+pub mod board;
+pub mod buffer;
+pub mod front;
+pub mod hostline;
+
+pub use buffer::Buffer;
+
+/// The largest object that the protocol knows, and so the longest body either way.
+pub const MOST_BODY: usize = 240_000;
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -227,10 +227,10 @@
         took: Duration,
         report: Vec<f32>,
     },
-    /// With no object: the whole group.
+    /// With no object: the whole group. The group of an object may be untold.
     Purged {
         object: Option<ObjectId>,
-        group: GroupId,
+        group: Option<GroupId>,
         ago: Duration,
     },
     Told {
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -222,7 +222,7 @@
     link: Gate,
     depth: Gate,
     /// When an object, or a whole group, was purged.
-    purges: BTreeMap<(GroupId, Option<ObjectId>), Duration>,
+    purges: BTreeMap<(Option<GroupId>, Option<ObjectId>), Duration>,
     chance: oorandom::Rand64,
     now: Duration,
     actions: Vec<Action>,
@@ -336,19 +336,19 @@
         }
     }
 
-    fn purged(&mut self, object: Option<ObjectId>, group: GroupId, ago: Duration) {
+    fn purged(&mut self, object: Option<ObjectId>, group: Option<GroupId>, ago: Duration) {
         let (now, done) = (self.now, self.told.purge_done);
         self.purges.retain(|_, at| now.saturating_sub(*at) <= done);
-        // A full table folds into groups: stricter than needed, never laxer.
+        // A full table folds into groups, or into all where the group is untold: stricter, never laxer.
         let object = object.filter(|_| self.purges.len() < self.told.most_held);
-        let at = self.purges.entry((group, object)).or_default();
+        let at = self.purges.entry((group.filter(|_| object.is_none()), object)).or_default();
         *at = now.saturating_sub(ago).max(*at);
     }
 
     /// The oldest copy that a purge leaves acceptable, while older ones can exist.
     fn purge_cap(&self, query: &Query) -> Option<Duration> {
-        let purges = [None, Some(query.object)].map(|object| self.purges.get(&(query.group, object)));
-        let age = self.now.saturating_sub(*purges.into_iter().flatten().max()?);
+        let names = [(None, None), (Some(query.group), None), (None, Some(query.object))];
+        let age = self.now.saturating_sub(*names.iter().filter_map(|name| self.purges.get(name)).max()?);
         (age <= self.told.purge_done).then(|| age.max(Duration::from_micros(1)))
     }
 
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -211,7 +211,7 @@
             "timer" => Event::TimerDue(TimerId(number(line, "id", 0) as u32)),
             "purge" => {
                 let object = get("obj").map(|text| ObjectId(text.parse().expect("an object")));
-                Event::Purged { object, group, ago: span(get("ago").unwrap_or("0ms")) }
+                Event::Purged { object, group: Some(group), ago: span(get("ago").unwrap_or("0ms")) }
             }
             other => panic!("no event: {other}"),
         })
