A query is no longer lost to a park without end; lines, caps, panics, probes, tests

Checked: the dispatcher's log (nothing at that time), then one query to a silent host in a stand-in: no answer at its limit, answer only when another word reached the module. A probe of may's park_timeout alone kept its times; its source cuts a time to whole milliseconds and takes 0 as for ever (sync/atomic_dur.rs), and an earlier timer of the same park wakes it early. So the module parked first to under a millisecond before a leg's limit, then for ever, until the next word came. Ruled out: the timer thread, the time limits themselves, the client's actor. At fault: park_timeout(wait) in module.rs; it now rounds up. Test: silent.txt, which failed at its first 503 before.

Notices ahead of a fault in the same read count (found by notices.txt). Panics of the decisions answer what is open. Connections that have outlived their use are closed. Probes, idle connections, caps from the told limits; names, listen address and log level on the command line.

--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -1,5 +1,9 @@
 use clap::{Parser, Subcommand};
 use rockflow_dispatcher::{Service, Told};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::fmt::Display;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -13,26 +17,43 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Run a dispatcher until SIGTERM
+    /// Run a dispatcher until SIGTERM or SIGINT
     Serve {
-        /// The configuration, as JSON
-        #[arg(long, env = "GW_CONFIG")]
-        config: PathBuf,
+        #[command(flatten)]
+        told: Source,
+        /// The least level of log lines: error, warn, info, debug
+        #[arg(long, default_value = "info")]
+        log: tracing::Level,
     },
     /// Print the version
     Version,
     /// Read a configuration and say whether a dispatcher can start with it
     Check {
-        /// The configuration, as JSON
-        #[arg(long, env = "GW_CONFIG")]
-        config: PathBuf,
+        #[command(flatten)]
+        told: Source,
     },
 }
 
+/// Where a dispatcher finds what it is told.
+#[derive(clap::Args)]
+struct Source {
+    /// The configuration, as JSON
+    #[arg(long, env = "GW_CONFIG")]
+    config: PathBuf,
+    /// The address to listen on, in place of the configuration's
+    #[arg(long, env = "GW_LISTEN")]
+    listen: Option<SocketAddr>,
+    /// The dispatcher's name, in place of the configuration's
+    #[arg(long, env = "GW_NAME")]
+    name: Option<String>,
+}
+
 fn main() -> ExitCode {
     let result = match Line::parse().command {
-        Command::Serve { config } => serve(&config),
-        Command::Check { config } => read(&config).map(|told| println!("{}: ready to serve", told.name)),
+        Command::Serve { told, log } => serve(&told, log),
+        Command::Check { told } => {
+            told.read().map(|told| println!("{}: ready to serve at {}", told.name, told.listen))
+        }
         Command::Version => {
             println!("rockflow {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -47,18 +68,24 @@
     }
 }
 
-fn read(config: &PathBuf) -> Result<Told, String> {
-    let fault = |what: &dyn std::fmt::Display| format!("{}: {what}", config.display());
-    let text = std::fs::read_to_string(config).map_err(|what| fault(&what))?;
-    Told::read(&text).map_err(|what| fault(&what))
+impl Source {
+    fn read(&self) -> Result<Told, String> {
+        let fault = |what: &dyn Display| format!("{}: {what}", self.config.display());
+        let text = std::fs::read_to_string(&self.config).map_err(|what| fault(&what))?;
+        let mut told = Told::read(&text).map_err(|what| fault(&what))?;
+        told.listen = self.listen.unwrap_or(told.listen);
+        told.name = self.name.clone().unwrap_or(told.name);
+        Ok(told)
+    }
 }
 
-fn serve(config: &PathBuf) -> Result<(), String> {
+fn serve(source: &Source, level: tracing::Level) -> Result<(), String> {
+    // Before anything else: a stop that is asked for during the start is kept till the start is done.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|what| format!("signals: {what}"))?;
+    // Written by a thread of its own, so that no coroutine waits for whoever reads the log.
     let (log, _guard) = tracing_appender::non_blocking(std::io::stderr());
-    tracing_subscriber::fmt().with_writer(log).with_ansi(false).init();
-    let mut signals = signal_hook::iterator::Signals::new([signal_hook::consts::SIGTERM])
-        .map_err(|what| format!("signals: {what}"))?;
-    let told = read(config)?;
+    tracing_subscriber::fmt().with_writer(log).with_max_level(level).with_ansi(false).init();
+    let told = source.read()?;
     Service::set_up();
     let mut service = Service::start(told).map_err(|what| format!("start: {what}"))?;
     signals.forever().next();
--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -53,8 +53,8 @@
                 return Ok("ended".to_string());
             }
             buffer.add(n);
-            let taken = sent.take(buffer.filled(), &mut notices)?;
-            buffer.consume(taken);
+            // What came whole ahead of a fault still counts.
+            let taken = sent.take(buffer.filled(), &mut notices);
             for notice in notices.drain(..) {
                 let (rev, next) = (notice.rev, self.last + 1);
                 if rev < next {
@@ -71,6 +71,7 @@
                 self.last = rev;
                 self.list.send(notice);
             }
+            buffer.consume(taken?);
         }
     }
 }
--- a/crates/rockflow-dispatcher/src/caps.rs
+++ b/crates/rockflow-dispatcher/src/caps.rs
@@ -13,6 +13,8 @@
     pub clients: usize,
     /// Connections to all hosts together; each buffers one answer at most.
     pub hosts: usize,
+    /// Bytes that may wait to be written on a connection to a host.
+    pub line_out: usize,
     /// Words that wait for the module before new queries are dismissed.
     pub module_words: usize,
 }
@@ -24,6 +26,6 @@
         // A third of the descriptors is the most that clients hold; half of the memory is for their answers.
         let clients = (limits.sockets / 3 + 1).min(descriptors / 2).min(memory / 2 / MOST_BODY).max(1);
         let hosts = (descriptors.saturating_sub(clients)).min(memory / 4 / MOST_ANSWER).max(1);
-        Caps { clients, hosts, module_words: 8 * clients }
+        Caps { clients, hosts, line_out: memory / 16 / hosts, module_words: 8 * clients }
     }
 }
--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -8,11 +8,22 @@
 use rockflow::interface::QueryId;
 use rockflow_protocol::front::{self, Answer, Request};
 use rockflow_protocol::Buffer;
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tracing::debug;
 
+/// A client closes a connection that is idle for 4 s; one that has said nothing whole for twice that is gone.
+const IDLE: Duration = Duration::from_secs(8);
+
+pub enum ClientWord {
+    Answer(QueryId, Answer),
+    /// Look whether the connection has outlived its use.
+    Look,
+}
+
 /// What all client connections share.
 pub struct Door {
     pub clock: Clock,
@@ -22,10 +33,27 @@
     pub ready: AtomicBool,
     /// Connections are closed as soon as no query is open on them.
     pub closing: AtomicBool,
+    /// The longest time that a query, and so the writing of an answer, may take.
+    pub longest: Duration,
+    /// The mailboxes of all connections.
+    pub clients: Mutex<BTreeMap<u64, Arc<Mailbox<ClientWord>>>>,
+    pub next_client: AtomicU64,
     pub next_query: AtomicU64,
     pub open: AtomicUsize,
 }
 
+impl Door {
+    /// No coroutine gives way while it holds this lock.
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Mailbox<ClientWord>>>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has every connection look whether it has outlived its use.
+    pub fn look(&self) {
+        self.clients().values().for_each(|mail| mail.send(ClientWord::Look));
+    }
+}
+
 /// The query that is open on the connection, and whether the client keeps the connection after it.
 struct Open {
     query: QueryId,
@@ -35,7 +63,7 @@
 struct Client<'a> {
     door: &'a Door,
     stream: TcpStream,
-    mail: Arc<Mailbox<(QueryId, Answer)>>,
+    mail: Arc<Mailbox<ClientWord>>,
     buffer: Buffer,
     open: Option<Open>,
     /// What is being written, how much of it is out, and whether the connection ends after it.
@@ -43,12 +71,16 @@
     body: Vec<u8>,
     written: usize,
     last: bool,
+    /// When the connection last moved on: it came up, a query came, an answer was given or a part of it went.
+    moved: Duration,
 }
 
 pub fn run(stream: TcpStream, door: &Door) {
     let _ = stream.set_nodelay(true);
     let mail = Mailbox::new();
     mail.wake_by(Wake::Io(stream.waker()));
+    let number = door.next_client.fetch_add(1, Ordering::Relaxed);
+    door.clients().insert(number, mail.clone());
     let mut client = Client {
         door,
         stream,
@@ -60,8 +92,10 @@
         body: Vec::new(),
         written: 0,
         last: false,
+        moved: door.clock.now(),
     };
     let ended = client.serve();
+    door.clients().remove(&number);
     if let Some(open) = client.open.take() {
         debug!(query = open.query.0, ended, "client left");
         door.module.send(Word::Left(open.query));
@@ -74,12 +108,11 @@
     fn serve(&mut self) -> &'static str {
         loop {
             let mut moved = false;
-            while let Some((query, answer)) = self.mail.take() {
-                if self.open.as_ref().is_some_and(|open| open.query == query) {
-                    let keep = self.open.take().is_some_and(|open| open.keep);
-                    self.door.open.fetch_sub(1, Ordering::Relaxed);
-                    self.answer(answer, keep);
-                    moved = true;
+            while let Some(word) = self.mail.take() {
+                match word {
+                    ClientWord::Answer(query, answer) => moved |= self.answered(query, answer),
+                    ClientWord::Look if self.outlived() => return "outlived",
+                    ClientWord::Look => {}
                 }
             }
             if self.open.is_none() && !self.writing() {
@@ -102,6 +135,24 @@
         }
     }
 
+    fn answered(&mut self, query: QueryId, answer: Answer) -> bool {
+        let Some(open) = self.open.take_if(|open| open.query == query) else { return false };
+        self.door.open.fetch_sub(1, Ordering::Relaxed);
+        self.answer(answer, open.keep);
+        true
+    }
+
+    /// Guards against connections that hold a seat for nothing: a client that vanished, one that sends its
+    /// head in crumbs, one that reads nothing. Where a query is open its own time limit holds.
+    fn outlived(&self) -> bool {
+        let still = self.door.clock.now().saturating_sub(self.moved);
+        match (&self.open, self.writing()) {
+            (Some(_), _) => false,
+            (None, true) => still > self.door.longest,
+            (None, false) => still > IDLE || self.door.closing.load(Ordering::Relaxed),
+        }
+    }
+
     fn writing(&self) -> bool {
         self.written < self.out.len() + self.body.len()
     }
@@ -133,7 +184,7 @@
             Request::Health => self.answer(Answer::Wrong(503, "Not Ready"), keep),
             Request::Wrong(status, why) => {
                 debug!(status, why, "request not taken");
-                self.answer(Answer::Wrong(status, why), keep);
+                self.answer(Answer::Wrong(status, why), false);
             }
             Request::Ask(_) if self.door.module.len() >= self.door.module_words => {
                 self.answer(Answer::Dismissed { pause: None }, keep)
@@ -153,7 +204,7 @@
         let keep = keep && !self.door.closing.load(Ordering::Relaxed);
         self.out = front::encode(&answer, keep);
         self.body = if let Answer::Succeeded { body, .. } = answer { body } else { Vec::new() };
-        (self.written, self.last) = (0, !keep);
+        (self.written, self.last, self.moved) = (0, !keep, self.door.clock.now());
     }
 
     /// Whether anything went out.
@@ -170,6 +221,7 @@
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
                     self.written += n;
+                    self.moved = self.door.clock.now();
                     wrote = true;
                 }
                 Err(what) if what.kind() == ErrorKind::WouldBlock => return Ok(wrote),
--- a/crates/rockflow-dispatcher/src/lib.rs
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod clock;
 pub mod host;
+pub mod line;
 pub mod list;
 pub mod listener;
 pub mod mailbox;
--- a/crates/rockflow-dispatcher/src/list.rs
+++ b/crates/rockflow-dispatcher/src/list.rs
@@ -78,16 +78,8 @@
         usable.collect()
     }
 
-    fn purge(&self, flush: &Flush) -> Event {
-        Event::Purged {
-            object: flush.asset.as_deref().map(|asset| ObjectId(id_of(asset))),
-            group: flush.collection.map(GroupId),
-            ago: self.clock.ago(flush.ms),
-        }
-    }
-
     /// What is known at the start, as one list and the purges in their order.
-    pub fn known(&self, notices: &[Notice]) -> (Vec<Entry>, Vec<Event>) {
+    pub fn known(&self, notices: &[Notice]) -> (Vec<Entry>, Vec<Flush>) {
         let (mut hosts, mut purges) = (BTreeMap::new(), Vec::new());
         for notice in notices {
             if let Some(pool) = &notice.pool {
@@ -102,7 +94,7 @@
                     }
                 }
             }
-            purges.extend(notice.flush.as_ref().map(|flush| self.purge(flush)));
+            purges.extend(notice.flush.clone());
         }
         (hosts.into_values().collect(), purges)
     }
@@ -131,8 +123,8 @@
                 }
                 self.module.send_urgent(Word::Listed { scope, entries });
             }
-            if let Some(flush) = &notice.flush {
-                self.module.send_urgent(Word::Purged(self.reading.purge(flush)));
+            if let Some(flush) = notice.flush {
+                self.module.send_urgent(Word::Purged(flush));
             }
         }
     }
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -10,6 +10,16 @@
 /// After a failed accept, for example with no descriptor left.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// How often connections are looked through for such as have outlived their use.
+const LOOK: Duration = Duration::from_secs(1);
+
+pub fn look(door: &Door) {
+    loop {
+        may::coroutine::sleep(LOOK);
+        door.look();
+    }
+}
+
 pub fn run(listener: TcpListener, door: Arc<Door>, cap: usize) {
     let seats = Arc::new(Semphore::new(cap));
     loop {
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -1,17 +1,20 @@
 //! The actor of the module: the only holder of the decisions. It orders events, runs timers and the legs'
 //! time limits, and carries out actions. It decides nothing.
 
+use crate::client::ClientWord;
 use crate::clock::Clock;
-use crate::host::{Host, LegKey, Order};
+use crate::host::{Host, LegKey, Order, Wires};
 use crate::list::{id_of, Entry};
 use crate::mailbox::{Mailbox, Wake};
 use may::coroutine;
 use rockflow::interface::*;
 use rockflow::Dispatcher;
+use rockflow_protocol::board::Flush;
 use rockflow_protocol::front::{Answer, Ask};
 use rockflow_protocol::hostline::{self, Want};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, error, info};
@@ -21,7 +24,7 @@
     Asked {
         query: QueryId,
         ask: Box<Ask>,
-        client: Arc<Mailbox<(QueryId, Answer)>>,
+        client: Arc<Mailbox<ClientWord>>,
         arrived: Duration,
     },
     Left(QueryId),
@@ -34,11 +37,19 @@
         key: LegKey,
         outcome: Outcome,
     },
+    Probed {
+        tag: u64,
+        answer: hostline::Answer,
+    },
+    ProbeFell {
+        tag: u64,
+        outcome: Outcome,
+    },
     Listed {
         scope: ListScope,
         entries: Vec<Entry>,
     },
-    Purged(Event),
+    Purged(Flush),
 }
 
 struct LegOut {
@@ -49,7 +60,7 @@
 
 struct Open {
     ask: Box<Ask>,
-    client: Arc<Mailbox<(QueryId, Answer)>>,
+    client: Arc<Mailbox<ClientWord>>,
     ends: Duration,
     answered: bool,
     legs: Vec<LegOut>,
@@ -61,6 +72,7 @@
     /// The module is late with a query's answer.
     Outer(QueryId),
     Timer(TimerId),
+    Probe(u64),
 }
 
 struct Peer {
@@ -74,8 +86,9 @@
     pub deployment: Deployment,
     pub products: Vec<String>,
     pub seed: u64,
-    pub connect_limit: Duration,
-    pub idle_limit: Duration,
+    /// Names of the values of a load report; none where probes bring none.
+    pub report: Vec<String>,
+    pub wires: Arc<Wires>,
     /// How late after a query's end its answer still counts.
     pub slack: Duration,
     pub mail: Arc<Mailbox<Word>>,
@@ -84,6 +97,11 @@
 pub struct Module {
     given: Given,
     decisions: Dispatcher,
+    /// Probes that are out: whom they ask, and since when.
+    probes: BTreeMap<u64, (HostId, Duration)>,
+    next_probe: u64,
+    /// The purges that still bind, for decisions that start anew.
+    purges: Vec<Flush>,
     open: BTreeMap<QueryId, Open>,
     peers: BTreeMap<HostId, Peer>,
     due: BinaryHeap<Reverse<(Duration, Due)>>,
@@ -92,10 +110,13 @@
 
 impl Module {
     /// With what is known at the start, so that the first query finds it decided by.
-    pub fn new(given: Given, known: Vec<Entry>, purges: Vec<Event>) -> Self {
+    pub fn new(given: Given, known: Vec<Entry>, purges: Vec<Flush>) -> Self {
         let mut module = Module {
             decisions: Dispatcher::new(given.deployment.clone(), given.seed),
             given,
+            probes: BTreeMap::new(),
+            next_probe: 0,
+            purges: Vec::new(),
             open: BTreeMap::new(),
             peers: BTreeMap::new(),
             due: BinaryHeap::new(),
@@ -104,26 +125,58 @@
         let actions = module.decisions.start();
         actions.into_iter().for_each(|action| module.act(action));
         module.list(ListScope::Remembered, known);
-        module.events.extend(purges);
+        purges.into_iter().for_each(|flush| module.purge(flush));
         module
     }
 
     pub fn run(mut self) {
         self.given.mail.wake_by(Wake::Park(coroutine::current()));
         loop {
-            self.decide();
-            if let Some(word) = self.given.mail.take() {
-                self.hear(word);
-            } else if let Some(Reverse((at, _))) = self.due.peek() {
-                let wait = at.saturating_sub(self.given.clock.now());
-                if wait > Duration::ZERO {
-                    coroutine::park_timeout(wait);
+            let wait = catch_unwind(AssertUnwindSafe(|| self.step())).unwrap_or_else(|_| {
+                self.begin_anew();
+                Some(Duration::ZERO)
+            });
+            match wait {
+                Some(Duration::ZERO) => {}
+                // Guards against a park without end: `may` cuts the time to whole milliseconds, and none is for ever.
+                Some(wait) => coroutine::park_timeout(Duration::from_millis(wait.as_millis() as u64 + 1)),
+                None => coroutine::park(),
+            }
+        }
+    }
+
+    /// Takes the next word, or says how long there is nothing to do; none: until a word comes.
+    fn step(&mut self) -> Option<Duration> {
+        self.decide();
+        self.ring();
+        if let Some(word) = self.given.mail.take() {
+            self.hear(word);
+            return Some(Duration::ZERO);
+        }
+        self.due.peek().map(|Reverse((at, _))| at.saturating_sub(self.given.clock.now()))
+    }
+
+    /// Guards against a panic of the decisions that leaves queries unanswered: each gets its answer, and the
+    /// decisions start again with the list as it stands.
+    fn begin_anew(&mut self) {
+        error!(open = self.open.len(), "the module panicked; its queries are terminated and it starts anew");
+        self.events.clear();
+        for open in std::mem::take(&mut self.open) {
+            let (id, open) = open;
+            for (no, leg) in open.legs.iter().enumerate().filter(|(_, leg)| leg.out) {
+                let key = (id, LegNo(no as u16));
+                if let Some(mail) = self.peers.get(&leg.host).and_then(|peer| peer.mail.as_ref()) {
+                    mail.send(Order::NeverMind { key, unheard: false });
                 }
-            } else {
-                coroutine::park();
             }
-            self.ring();
+            if !open.answered {
+                open.client.send(ClientWord::Answer(id, Answer::Terminated));
+            }
         }
+        self.decisions = Dispatcher::new(self.given.deployment.clone(), self.given.seed);
+        let hosts = self.peers.values().map(|peer| peer.entry.listing.clone()).collect();
+        self.events.push_back(Event::Listed { scope: ListScope::Remembered, hosts });
+        std::mem::take(&mut self.purges).into_iter().for_each(|flush| self.purge(flush));
     }
 
     fn decide(&mut self) {
@@ -145,20 +198,23 @@
             }
             Word::Answered { key, answer } => self.answered(key, answer),
             Word::Fell { key, outcome } => self.end_leg(key, outcome, None, Duration::ZERO),
+            Word::Probed { tag, answer } => {
+                let well = answer.word == hostline::Word::Well;
+                let named = |name: &String| answer.load.iter().find(|(known, _)| known == name);
+                let report =
+                    self.given.report.iter().map(|name| named(name).map_or(0.0, |(_, value)| *value));
+                let report = if answer.load.is_empty() { Vec::new() } else { report.collect() };
+                self.end_probe(tag, if well { Outcome::Succeeded } else { Outcome::HostError }, report);
+            }
+            Word::ProbeFell { tag, outcome } => self.end_probe(tag, outcome, Vec::new()),
             Word::Listed { scope, entries } => self.list(scope, entries),
-            Word::Purged(event) => self.events.push_back(event),
+            Word::Purged(flush) => self.purge(flush),
         }
     }
 
-    fn ask(
-        &mut self,
-        id: QueryId,
-        ask: Box<Ask>,
-        client: Arc<Mailbox<(QueryId, Answer)>>,
-        arrived: Duration,
-    ) {
+    fn ask(&mut self, id: QueryId, ask: Box<Ask>, client: Arc<Mailbox<ClientWord>>, arrived: Duration) {
         let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
-            return client.send((id, Answer::Wrong(404, "unknown class")));
+            return client.send(ClientWord::Answer(id, Answer::Wrong(404, "unknown class")));
         };
         let ends = arrived + ask.patience;
         let query = Query {
@@ -196,6 +252,17 @@
         self.events.push_back(Event::Listed { scope, hosts });
     }
 
+    fn purge(&mut self, flush: Flush) {
+        let (clock, done) = (self.given.clock, self.given.deployment.purge_done);
+        self.purges.retain(|old| clock.ago(old.ms) <= done);
+        self.events.push_back(Event::Purged {
+            object: flush.asset.as_deref().map(|asset| ObjectId(id_of(asset))),
+            group: flush.collection.map(GroupId),
+            ago: clock.ago(flush.ms),
+        });
+        self.purges.push(flush);
+    }
+
     fn retire(&mut self, id: HostId) {
         if let Some(mail) = self.peers.remove(&id).and_then(|peer| peer.mail) {
             mail.send(Order::Retire);
@@ -212,7 +279,18 @@
                 self.due.push(Reverse((self.given.clock.now() + span, Due::Timer(timer))));
             }
             Action::Log(text) => info!(text, "module"),
-            other => debug!(?other, "no use on these sockets"),
+            Action::Probe { host } => self.probe(host),
+            Action::CloseIdle { host } => {
+                if let Some(mail) = self.peers.get(&host).and_then(|peer| peer.mail.as_ref()) {
+                    mail.send(Order::CloseIdle);
+                }
+            }
+            // The board is followed all the time: what it has told is the answer.
+            Action::Subscribe { .. } | Action::AskList => {
+                let hosts = self.peers.values().map(|peer| peer.entry.listing.clone()).collect();
+                self.events.push_back(Event::Listed { scope: ListScope::Whole, hosts });
+            }
+            Action::Tell { .. } => debug!("dispatchers share nothing on these sockets"),
         }
     }
 
@@ -254,32 +332,41 @@
     /// The mailbox of a listed host, whose actor starts with the first order.
     fn mail_of(&mut self, id: HostId) -> Option<Arc<Mailbox<Order>>> {
         let peer = self.peers.get_mut(&id)?;
-        let given = &self.given;
-        let entry = &peer.entry;
+        let (entry, wires) = (&peer.entry, &self.given.wires);
         let mail = peer.mail.get_or_insert_with(|| {
-            let mail = Mailbox::new();
-            let host = Host {
-                name: entry.name.clone(),
-                address: entry.address,
-                connect_limit: given.connect_limit,
-                idle_limit: given.idle_limit,
-                clock: given.clock,
-                module: given.mail.clone(),
-                mail: mail.clone(),
-            };
+            let (mail, wires) = (Mailbox::new(), wires.clone());
+            let host = Host { name: entry.name.clone(), address: entry.address, wires, mail: mail.clone() };
             may::go!(move || host.run());
             mail
         });
         Some(mail.clone())
     }
 
+    fn probe(&mut self, host: HostId) {
+        let (tag, now) = (self.next_probe, self.given.clock.now());
+        self.next_probe += 1;
+        self.probes.insert(tag, (host, now));
+        self.due.push(Reverse((now + self.given.wires.connect_limit, Due::Probe(tag))));
+        let load = !self.given.report.is_empty();
+        match self.mail_of(host) {
+            Some(mail) => mail.send(Order::Probe { tag, load }),
+            None => self.end_probe(tag, Outcome::NotSent, Vec::new()),
+        }
+    }
+
+    fn end_probe(&mut self, tag: u64, outcome: Outcome, report: Vec<f32>) {
+        let Some((host, sent)) = self.probes.remove(&tag) else { return };
+        let took = self.given.clock.now().saturating_sub(sent);
+        self.events.push_back(Event::Probed { host, outcome, took, report });
+    }
+
     /// Gives a leg up: its host hears of it, and its outcome is known at once.
     fn call_off(&mut self, key: LegKey, outcome: Outcome) {
         let Some(open) = self.open.get(&key.0) else { return };
         let Some(leg) = open.legs.get(usize::from(key.1 .0)).filter(|leg| leg.out) else { return };
-        let (host, id) = (leg.host, open.ask.call_id.clone());
+        let (host, unheard) = (leg.host, outcome == Outcome::TimedOut);
         if let Some(mail) = self.peers.get(&host).and_then(|peer| peer.mail.as_ref()) {
-            mail.send(Order::NeverMind { key, id });
+            mail.send(Order::NeverMind { key, unheard });
         }
         self.end_leg(key, outcome, None, Duration::ZERO);
     }
@@ -310,7 +397,7 @@
     fn answer(&mut self, id: QueryId, answer: Answer) {
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
-        open.client.send((id, answer));
+        open.client.send(ClientWord::Answer(id, answer));
         self.forget(id);
     }
 
@@ -349,6 +436,7 @@
             self.due.pop();
             match due {
                 Due::Leg(key) => self.call_off(key, Outcome::TimedOut),
+                Due::Probe(tag) => self.end_probe(tag, Outcome::TimedOut, Vec::new()),
                 Due::Timer(timer) => self.events.push_back(Event::TimerDue(timer)),
                 Due::Outer(id) => {
                     // Guards against a query that nothing answers: the module is told as if the client left.
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -4,6 +4,7 @@
 use crate::caps::Caps;
 use crate::client::Door;
 use crate::clock::Clock;
+use crate::host::Wires;
 use crate::list::{List, Reading};
 use crate::listener;
 use crate::mailbox::Mailbox;
@@ -11,8 +12,10 @@
 use crate::told::Told;
 use may::coroutine::Builder;
 use may::net::TcpListener;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tracing::info;
 
@@ -39,8 +42,8 @@
 
 pub struct Service {
     phase: Phase,
+    listens_at: SocketAddr,
     door: Arc<Door>,
-    longest: Duration,
 }
 
 impl Service {
@@ -52,28 +55,39 @@
     pub fn start(told: Told) -> std::io::Result<Service> {
         let (clock, caps) = (Clock::start(), Caps::of(&told.limits));
         let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
+        let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
         let door = Arc::new(Door {
             clock,
             module: mail.clone(),
             module_words: caps.module_words,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            longest: longest.unwrap_or_default(),
+            clients: Mutex::new(BTreeMap::new()),
+            next_client: AtomicU64::new(1),
             next_query: AtomicU64::new(1),
             open: AtomicUsize::new(0),
         });
-        let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
-        let mut service =
-            Service { phase: Phase::Starting, door: door.clone(), longest: longest.unwrap_or_default() };
         let reading = Reading::new(clock, &told.facts, &told.wiring);
         let (known, purges) = reading.known(&told.known.notices);
         info!(name = told.name, listen = %told.listen, hosts = known.len(), rev = told.known.rev, ?caps, "starting");
+        let wires = Arc::new(Wires {
+            clock,
+            module: mail.clone(),
+            connect_limit: told.wiring.connect_limit,
+            idle_limit: told.wiring.idle_limit,
+            most_streams: told.wiring.most_streams,
+            line_out: caps.line_out,
+            lines: AtomicUsize::new(0),
+            most_lines: caps.hosts,
+        });
         let given = Given {
             clock,
             deployment: told.facts.deployment,
             products: told.wiring.products.clone(),
             seed: told.seed,
-            connect_limit: told.wiring.connect_limit,
-            idle_limit: told.wiring.idle_limit,
+            report: told.wiring.report,
+            wires,
             slack: told.wiring.answer_slack,
             mail: mail.clone(),
         };
@@ -82,15 +96,27 @@
         let chance = oorandom::Rand64::new(u128::from(told.seed));
         let board = Board { address: told.board, last: told.known.rev, list: list_mail, chance };
         let listener = TcpListener::bind(told.listen)?;
+        let listens_at = listener.local_addr()?;
+        let mut service = Service { phase: Phase::Starting, listens_at, door: door.clone() };
         spawn("module", BIG_STACK, move || module.run())?;
         spawn("list", BIG_STACK, move || list.run())?;
         spawn("board", BIG_STACK, move || board.run())?;
+        let looked = door.clone();
+        spawn("look", STACK, move || listener::look(&looked))?;
         spawn("listener", STACK, move || listener::run(listener, door, caps.clients))?;
         service.door.ready.store(true, Ordering::Relaxed);
         service.enter(Phase::Serving);
         Ok(service)
     }
 
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    pub fn listens_at(&self) -> SocketAddr {
+        self.listens_at
+    }
+
     fn enter(&mut self, phase: Phase) {
         info!(from = ?self.phase, to = ?phase, open = self.door.open.load(Ordering::Relaxed), "phase");
         self.phase = phase;
@@ -102,7 +128,8 @@
         std::thread::sleep(STILL_COMING);
         self.enter(Phase::Finishing);
         self.door.closing.store(true, Ordering::Relaxed);
-        let looks = (self.longest + LAST).as_millis() / LOOK.as_millis();
+        self.door.look();
+        let looks = (self.door.longest + LAST).as_millis() / LOOK.as_millis();
         for _ in 0..looks {
             if self.door.open.load(Ordering::Relaxed) == 0 {
                 break;
--- /dev/null
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -0,0 +1,233 @@
+//! Plays a scenario against a whole dispatcher on loopback sockets. A line is a party and what it does:
+//!
+//!     host NAME cache|parent|origin     listed at the start, at a port of its own; `none` after it: nothing listens
+//!     start [products=N]                the dispatcher, with N products named in place of those told
+//!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks for an object, connecting first if it has to
+//!     a sends TEXT                      raw, with \r \n; a gets STATUS WORD...: one answer, holding all words
+//!     a closes | a ended                the client leaves; the dispatcher has closed
+//!     c takes                           host c accepts a connection, which counts from then on
+//!     c gets WORD...                    a line holding all words; its id is remembered
+//!     c says WORD FIELDS [BODY]         answers the remembered id; c says again ...: an earlier one, as id=HEX
+//!     c sends TEXT | c closes | c ended
+//!     board takes LAST | board says JSON | board closes
+//!     stop | over                       a planned stop begins; it has come to its end
+
+use rockflow_dispatcher::{Phase, Service, Told};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Once;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use test_case::test_case;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+static SET_UP: Once = Once::new();
+
+struct Party {
+    listener: Option<TcpListener>,
+    stream: Option<BufReader<TcpStream>>,
+    id: String,
+}
+
+impl Party {
+    fn connect(&mut self, stream: TcpStream) {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.stream = Some(BufReader::new(stream));
+    }
+
+    fn takes(&mut self) {
+        let listener = self.listener.as_ref().expect("a listener");
+        socket2::SockRef::from(listener).set_read_timeout(Some(PATIENCE)).unwrap();
+        let (stream, _) = listener.accept().expect("a connection in time");
+        self.connect(stream);
+    }
+
+    fn send(&mut self, text: &str) {
+        self.stream().get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    fn stream(&mut self) -> &mut BufReader<TcpStream> {
+        self.stream.as_mut().expect("connected")
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.stream().read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    /// A head, and the body that it announces.
+    fn answer(&mut self) -> String {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            let line = self.line();
+            assert!(!line.is_empty(), "ended after {text:?}");
+            text += &line;
+        }
+        let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+        let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+        self.stream().read_exact(&mut body).expect("a body in time");
+        text + &String::from_utf8_lossy(&body)
+    }
+
+    fn ended(&mut self) {
+        let mut rest = Vec::new();
+        match self.stream().read_to_end(&mut rest) {
+            Ok(_) => assert!(rest.is_empty(), "{:?}", String::from_utf8_lossy(&rest)),
+            Err(what) => assert_eq!(what.kind(), std::io::ErrorKind::ConnectionReset),
+        }
+    }
+}
+
+struct Play {
+    parties: BTreeMap<String, Party>,
+    instances: Vec<Value>,
+    service: Option<Service>,
+    address: Option<SocketAddr>,
+    stopping: Option<JoinHandle<Service>>,
+}
+
+impl Play {
+    fn party(&mut self, name: &str) -> &mut Party {
+        let fresh = || Party { listener: None, stream: None, id: String::new() };
+        self.parties.entry(name.to_string()).or_insert_with(fresh)
+    }
+
+    fn host(&mut self, name: &str, words: &[&str]) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        self.party(name).listener = Some(listener).filter(|_| !words.contains(&"none"));
+        let (zone, kind) = match words[0] {
+            "cache" => ("shop", "box"),
+            role => ("hub", role),
+        };
+        self.instances
+            .push(json!({"instanceId": name, "hostPort": address, "zone": zone, "machineType": kind,
+            "lifecycle": "active", "weight": 8, "startedAtMs": 0}));
+        address
+    }
+
+    fn start(&mut self, words: &[&str]) {
+        let mut value: Value = serde_json::from_str(include_str!("../../../deploy/example.json")).unwrap();
+        let board = TcpListener::bind("127.0.0.1:0").unwrap();
+        value["board"] = json!(board.local_addr().unwrap().to_string());
+        self.party("board").listener = Some(board);
+        value["listen"] = json!("127.0.0.1:0");
+        value["known"]["notices"][0]["pool"]["instances"] = json!(self.instances);
+        let mut told = Told::read(&value.to_string()).unwrap();
+        if words.contains(&"unknown-product") {
+            told.wiring.products.push("unknown".to_string());
+        }
+        SET_UP.call_once(Service::set_up);
+        let service = Service::start(told).unwrap();
+        self.address = Some(service.listens_at());
+        self.service = Some(service);
+    }
+
+    fn client(&mut self, name: &str) -> &mut Party {
+        let address = self.address;
+        let party = self.party(name);
+        if party.stream.is_none() {
+            party.connect(TcpStream::connect(address.expect("started")).unwrap());
+        }
+        party
+    }
+
+    fn play(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let (name, verb, rest) =
+            (words[0], words.get(1).copied().unwrap_or(""), words.get(2..).unwrap_or(&[]));
+        let raw = || line.splitn(3, ' ').nth(2).unwrap_or("").replace("\\r", "\r").replace("\\n", "\n");
+        let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
+        match (name, verb) {
+            ("host", name) => {
+                self.host(name, rest);
+            }
+            ("start", _) => self.start(&words),
+            ("stop", _) => {
+                let mut service = self.service.take().unwrap();
+                assert_eq!(service.phase(), Phase::Serving);
+                self.stopping = Some(std::thread::spawn(move || {
+                    service.stop();
+                    service
+                }));
+            }
+            ("over", _) => {
+                let service = self.stopping.take().unwrap().join().unwrap();
+                assert_eq!(service.phase(), Phase::Over);
+            }
+            ("board", "takes") => {
+                let board = self.party("board");
+                board.takes();
+                let head = board.answer();
+                assert!(head.contains(&format!("Last-Event-ID: {}\r\n", rest[0])), "{head}");
+                board.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            }
+            ("board", "says") => self.party("board").send(&format!("data: {}\n\n", raw())),
+            (_, "asks") => {
+                let headers = rest.iter().filter_map(|word| word.split_once(':'));
+                let headers: String = headers.map(|(key, value)| format!("{key}: {value}\r\n")).collect();
+                let (id, patience) = (value("id=").unwrap(), value("patience=").unwrap_or("4000"));
+                let ask = format!("GET /invoke/{} HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Group: 1\r\n", rest[0]);
+                self.client(name).send(&format!("{ask}X-Patience-Ms: {patience}\r\n{headers}\r\n"));
+            }
+            (_, "sends") if self.parties.get(name).is_none_or(|party| party.listener.is_none()) => {
+                self.client(name).send(&raw())
+            }
+            (_, "sends") => self.party(name).send(&raw()),
+            (_, "takes") => self.party(name).takes(),
+            (_, "gets") if rest[0].parse::<u16>().is_ok() => {
+                let answer = self.party(name).answer();
+                let status = format!("HTTP/1.1 {} ", rest[0]);
+                assert!(answer.starts_with(&status), "{answer:?} for {line:?}");
+                rest[1..].iter().for_each(|word| assert!(answer.contains(word), "{answer:?} for {line:?}"));
+            }
+            (_, "gets") => {
+                let party = self.party(name);
+                let got = party.line();
+                let fits = |word: &&str| match word.strip_prefix('!') {
+                    Some(word) => !got.contains(word),
+                    None => got.contains(*word),
+                };
+                assert!(rest.iter().all(fits), "{got:?} for {line:?}");
+                if got.starts_with("want") {
+                    party.id = got.split(' ').nth(1).unwrap().to_string();
+                    assert_eq!(party.line(), "\r\n");
+                }
+            }
+            (_, "says") => {
+                let party = self.party(name);
+                let id = value("id=").map_or(party.id.clone(), str::to_string);
+                let body = value("body=").unwrap_or("");
+                party.send(&format!("{id} {} {} {}\r\n{body}\r\n", rest[0], rest[1], body.len()));
+            }
+            (_, "closes") => self.party(name).stream = None,
+            (_, "ended") => self.party(name).ended(),
+            _ => panic!("no such line: {line:?}"),
+        }
+    }
+}
+
+#[test_case(include_str!("scenarios/ordinary.txt"); "ordinary")]
+#[test_case(include_str!("scenarios/clients.txt"); "clients")]
+#[test_case(include_str!("scenarios/hosts.txt"); "hosts")]
+#[test_case(include_str!("scenarios/silent.txt"); "silent")]
+#[test_case(include_str!("scenarios/notices.txt"); "notices")]
+#[test_case(include_str!("scenarios/panic.txt"); "panic")]
+#[test_case(include_str!("scenarios/stop.txt"); "stop")]
+fn scenario(text: &str) {
+    let mut play = Play {
+        parties: BTreeMap::new(),
+        instances: Vec::new(),
+        service: None,
+        address: None,
+        stopping: None,
+    };
+    let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
+    lines.for_each(|line| {
+        println!("{line}");
+        play.play(line);
+    });
+}
--- /dev/null
+++ b/crates/rockflow-protocol/tests/codecs.rs
@@ -0,0 +1,209 @@
+//! The codecs byte by byte: at every split, with what is malformed, and with junk from a fixed seed.
+
+use rockflow_protocol::board::{Notice, Stream};
+use rockflow_protocol::front::{self, Answer, Request};
+use rockflow_protocol::hostline::{self, Note, Want, Word};
+use rockflow_protocol::Buffer;
+use std::time::Duration;
+use test_case::test_case;
+
+const ASK: &str = "GET /invoke/pages/7f3a9c21e0b4d655?part=3 HTTP/1.1\r\nHost: backend.local\r\n\
+    X-Call-Id: 9b1f03aa5c7e2d41\r\nX-Patience-Ms: 1500\r\nX-Group: 17\r\nX-Heap-Kb: 412.5\r\n\
+    If-None-Match: \"4be0c1927d55a6f3\"\r\n\r\n";
+
+#[test]
+fn a_request_is_read_only_when_its_last_byte_is_there() {
+    for cut in 0..ASK.len() {
+        assert_eq!(front::decode(&ASK.as_bytes()[..cut]), None, "cut at {cut}");
+    }
+    let two = format!("{ASK}{ASK}");
+    let head = front::decode(two.as_bytes()).expect("whole");
+    assert_eq!((head.length, head.keep), (ASK.len(), true));
+    let Request::Ask(ask) = head.request else { panic!("{:?}", head.request) };
+    assert_eq!((ask.product.as_str(), ask.object.as_str(), ask.part), ("pages", "7f3a9c21e0b4d655", 3));
+    assert_eq!((ask.group, ask.patience, ask.size_kb), (17, Duration::from_millis(1500), 412.5));
+    assert_eq!(ask.seen.as_deref(), Some("4be0c1927d55a6f3"));
+}
+
+#[test_case("HTTP/1.1\r\n", "HTTP/1.1\r\nConnection: close\r\n", Some(false); "closed on the client's word")]
+#[test_case("HTTP/1.1\r\n", "HTTP/1.0\r\n", Some(false); "an old client closes")]
+#[test_case("HTTP/1.1\r\n", "HTTP/1.0\r\nConnection: Keep-Alive\r\n", Some(true); "an old client keeps it open")]
+#[test_case("GET", "\r\nGET", Some(true); "an empty line before")]
+#[test_case("\"4be0c1927d55a6f3\"", "junk, \"x\"", Some(true); "a tag that can't be passed on")]
+#[test_case("X-Heap-Kb: 412.5\r\n", "", Some(true); "no size told")]
+#[test_case("X-Call-Id: 9b", "X-Call-Id: zz", None; "a call id that is no number")]
+#[test_case("X-Patience-Ms: 1500\r\n", "", None; "no patience")]
+#[test_case("X-Patience-Ms: 1500", "X-Patience-Ms: NaN", None; "absurd patience")]
+#[test_case("X-Group: 17", "X-Group: 256", None; "a group past the last")]
+#[test_case("part=3", "part=-1", None; "a part below the first")]
+#[test_case("7f3a9c21e0b4d655", "a,b", None; "an object that would break a host's line")]
+#[test_case("7f3a9c21e0b4d655", "a/b", None; "a path too deep")]
+#[test_case("GET", "POST", None; "another method")]
+#[test_case("/invoke/", "/else/", None; "an unknown path")]
+#[test_case("X-Group", "Content-Length: 4\r\nX-Group", None; "a body where none belongs")]
+#[test_case("X-Group", "Transfer-Encoding: chunked\r\nX-Group", None; "a chunked body")]
+#[test_case("Host", "Ho st", None; "a malformed head")]
+fn heads(from: &str, to: &str, keep: Option<bool>) {
+    let head = front::decode(ASK.replacen(from, to, 1).as_bytes()).expect("whole");
+    match (head.request, keep) {
+        (Request::Ask(_), Some(keep)) => assert_eq!(head.keep, keep),
+        (Request::Wrong(status, _), None) => assert!((400..500).contains(&status)),
+        (other, _) => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_head_without_end_is_not_read_for_ever() {
+    let long = format!("GET /_health HTTP/1.1\r\nX: {}", "x".repeat(front::MOST_HEAD));
+    let head = front::decode(long.as_bytes()).expect("given up");
+    assert!(matches!(head.request, Request::Wrong(431, _)) && !head.keep);
+}
+
+#[test_case(Answer::Succeeded { tag: "t1".into(), body: vec![7; 3] }, "200 OK\r\nContent-Length: 3\r\nETag: \"t1\"\r\n")]
+#[test_case(Answer::Unchanged { tag: "t1".into() }, "304 Not Modified\r\nETag: \"t1\"\r\n")]
+#[test_case(Answer::Dismissed { pause: Some(Duration::from_millis(250)) },
+    "503 Service Unavailable\r\nContent-Length: 0\r\nX-Come-Back-Ms: 250\r\n")]
+#[test_case(Answer::Terminated, "502 Bad Gateway\r\nContent-Length: 0\r\n")]
+fn answers(answer: Answer, head: &str) {
+    assert_eq!(String::from_utf8(front::encode(&answer, true)).unwrap(), format!("HTTP/1.1 {head}\r\n"));
+    let last = front::encode(&answer, false);
+    assert_eq!(String::from_utf8(last).unwrap(), format!("HTTP/1.1 {head}Connection: close\r\n\r\n"));
+}
+
+#[test]
+fn a_want_names_only_what_is_asked() {
+    let bare = Want { id: "9b", product: "pages", object: "7f", part: 3, ..Want::default() };
+    assert_eq!(bare.encode(), b"want 9b c=pages,k=7f,p=3,w=1 0\r\n\r\n");
+    let full = Want {
+        wait: Duration::from_micros(900_900),
+        source: Some("p1"),
+        rank: 2,
+        oldest: Some(Duration::from_micros(1)),
+        coalesce: true,
+        freshen: true,
+        seen: Some("t1"),
+        ..bare
+    };
+    let line =
+        "want 9b c=pages,k=7f,p=3,w=900,from=p1,rank=2,oldest=1,mode=coalesce+freshen,seen=t1 0\r\n\r\n";
+    assert_eq!(String::from_utf8(full.encode()).unwrap(), line);
+}
+
+#[test]
+fn an_answer_is_read_only_when_its_last_byte_is_there() {
+    let line =
+        b"9b data note=deep_fill,waited=12.5,ver=t1,born=1764576000123,new=1,load=inflight:7;util:0.61 4\r\n";
+    let bytes = [&line[..], b"\r\nab\r\n9c"].concat();
+    for cut in 0..line.len() + 6 {
+        assert_eq!(hostline::decode(&bytes[..cut]), Ok(None), "cut at {cut}");
+    }
+    let (length, answer) = hostline::decode(&bytes).unwrap().expect("whole");
+    assert_eq!((length, answer.word, answer.note), (line.len() + 6, Word::Data, Some(Note::DeepFill)));
+    assert_eq!((answer.waited, answer.born), (Duration::from_micros(12_500), Some(1_764_576_000_123)));
+    assert_eq!((answer.tag.as_str(), &answer.body[..]), ("t1", &b"\r\nab"[..]));
+    assert_eq!(answer.load, [("inflight".to_string(), 7.0), ("util".to_string(), 0.61)]);
+}
+
+#[test_case("9b gone - 0\r\n\r\n"; "an unknown word")]
+#[test_case("9b data - 1\r\nxyz"; "a body longer than its length")]
+#[test_case("9b data - 240001\r\n"; "a body over the limit")]
+#[test_case("9b data - -1\r\n\r\n"; "a length below nothing")]
+#[test_case("9b data 0\r\n\r\n"; "three words")]
+#[test_case("9b data waited=x 0\r\n\r\n"; "a field that does not parse")]
+#[test_case("9b data - 0\n\n"; "a bare line feed")]
+fn answers_that_end_the_connection(bytes: &str) {
+    assert!(hostline::decode(bytes.as_bytes()).is_err());
+}
+
+const EVENTS: &str =
+    ": hello\n\nid: 41\ndata: {\"rev\":41,\"pool\":{\"generation\":7,\"reset\":false,\"instances\":[]}}\n\n\
+    id: 42\r\ndata: {\"rev\":42,\r\ndata: \"flush\":{\"asset\":\"7f\",\"ms\":1764576000123}}\r\n\r\n";
+
+fn read(parts: &[&[u8]]) -> Result<Vec<Notice>, String> {
+    let (mut stream, mut held, mut notices) = (Stream::default(), Vec::new(), Vec::new());
+    for part in parts {
+        held.extend_from_slice(part);
+        let taken = stream.take(&held, &mut notices)?;
+        held.drain(..taken);
+    }
+    Ok(notices)
+}
+
+#[test_case(false; "to the end of the connection")]
+#[test_case(true; "in chunks")]
+fn notices_come_whole_at_every_split(chunked: bool) {
+    let mut sent = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+    if chunked {
+        sent += "Transfer-Encoding: chunked\r\n\r\n";
+        let (a, b) = EVENTS.split_at(50);
+        [a, b].iter().for_each(|chunk| sent += &format!("{:x}\r\n{chunk}\r\n", chunk.len()));
+        sent += "0\r\n\r\n";
+    } else {
+        sent += &format!("\r\n{EVENTS}");
+    }
+    for cut in 0..sent.len() {
+        let (a, b) = sent.as_bytes().split_at(cut);
+        let notices = read(&[a, b]).expect("well formed");
+        assert_eq!(notices.iter().map(|notice| notice.rev).collect::<Vec<_>>(), [41, 42], "cut at {cut}");
+        let flush = notices[1].flush.as_ref().expect("a purge");
+        assert_eq!(
+            (flush.asset.as_deref(), flush.collection, flush.ms),
+            (Some("7f"), None, 1_764_576_000_123)
+        );
+    }
+}
+
+#[test_case("HTTP/1.1 503 No\r\n\r\n"; "a refusal")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\ndata: {}\n\n"; "an event without a number")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\ndata: {\"rev\":\n\n"; "an event cut short")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"; "a chunk without a size")]
+#[test_case("junk\r\n\r\n"; "junk")]
+fn boards_that_are_left(sent: &str) {
+    assert!(read(&[sent.as_bytes()]).is_err());
+}
+
+#[test]
+fn junk_neither_panics_nor_stalls() {
+    let mut chance = oorandom::Rand32::new(7);
+    let seeds = [ASK.to_string(), "9b data note=fill,waited=1 4\r\nabcd\r\n".to_string(), EVENTS.to_string()];
+    for round in 0..30_000 {
+        let mut bytes = seeds[round % 3].clone().into_bytes();
+        for _ in 0..chance.rand_range(1..6) {
+            let at = chance.rand_range(0..bytes.len() as u32) as usize;
+            bytes[at] = chance.rand_range(0..256) as u8;
+        }
+        bytes.truncate(chance.rand_range(1..bytes.len() as u32 + 1) as usize);
+        if let Some(head) = front::decode(&bytes) {
+            assert!(head.length > 0 && head.length <= bytes.len());
+        }
+        if let Ok(Some((length, _))) = hostline::decode(&bytes) {
+            assert!(length > 0 && length <= bytes.len());
+        }
+        let _ = read(&[b"HTTP/1.1 200 OK\r\n\r\n", &bytes]);
+    }
+}
+
+#[test]
+fn a_buffer_grows_compacts_and_stops_at_its_cap() {
+    let most = 10_000;
+    let mut buffer = Buffer::new(most);
+    let mut next = 0u8;
+    let (mut wanted, mut held) = (0u8, 0);
+    for step in 0..5_000 {
+        if let Some(room) = buffer.room() {
+            let n = room.len().min(1 + step % 700);
+            room[..n].iter_mut().for_each(|byte| (*byte, next) = (next, next.wrapping_add(1)));
+            buffer.add(n);
+            held += n;
+        } else {
+            assert_eq!(held, most);
+        }
+        let n = (step * 7 % 650).min(held);
+        for byte in &buffer.filled()[..n] {
+            assert_eq!(*byte, wanted);
+            wanted = wanted.wrapping_add(1);
+        }
+        buffer.consume(n);
+        held -= n;
+    }
+}
