--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -25,7 +25,7 @@
 }
 
 impl Board {
-    pub fn run(mut self) {
+    pub fn run(&mut self) {
         let mut wait = WAIT.0;
         // A gap is asked for again once; what is missing after that is not to be had.
         let mut gap_borne = None;
--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -10,10 +10,11 @@
 use rockflow_protocol::Buffer;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tracing::debug;
+use tracing::{debug, error};
 
 /// A client closes a connection that is idle for 4 s; one that has said nothing whole for twice that is gone.
 const IDLE: Duration = Duration::from_secs(8);
@@ -30,7 +31,7 @@
     pub module: Arc<Mailbox<Word>>,
     pub module_words: usize,
     /// Queries can be decided.
-    pub ready: AtomicBool,
+    pub ready: Arc<AtomicBool>,
     /// Connections are closed as soon as no query is open on them.
     pub closing: AtomicBool,
     /// The longest time that a query, and so the writing of an answer, may take.
@@ -94,7 +95,10 @@
         last: false,
         moved: door.clock.now(),
     };
-    let ended = client.serve();
+    let ended = catch_unwind(AssertUnwindSafe(|| client.serve())).unwrap_or_else(|_| {
+        error!(client = number, "actor panicked");
+        "panicked"
+    });
     door.clients().remove(&number);
     if let Some(open) = client.open.take() {
         debug!(query = open.query.0, ended, "client left");
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -10,10 +10,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 /// Part of the told idle time after which a connection is not used again: the host may be closing it.
 const IDLE_PART: f64 = 0.8;
@@ -109,7 +110,9 @@
                 heard: Duration::ZERO,
                 retired: false,
             };
-            wire.serve();
+            if catch_unwind(AssertUnwindSafe(|| wire.serve())).is_err() {
+                error!(host = name, "actor panicked");
+            }
             shared.over.store(true, Ordering::Relaxed);
             for (key, _) in wire.legs.into_values() {
                 wires.module.send(Word::Fell { key, outcome: Outcome::Broken });
--- a/crates/rockflow-dispatcher/src/list.rs
+++ b/crates/rockflow-dispatcher/src/list.rs
@@ -107,7 +107,7 @@
 }
 
 impl List {
-    pub fn run(self) {
+    pub fn run(&self) {
         self.mail.wake_by(Wake::Park(coroutine::current()));
         loop {
             let Some(notice) = self.mail.take() else {
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -20,8 +20,7 @@
     }
 }
 
-pub fn run(listener: TcpListener, door: Arc<Door>, cap: usize) {
-    let seats = Arc::new(Semphore::new(cap));
+pub fn run(listener: &TcpListener, door: &Arc<Door>, seats: &Arc<Semphore>) {
     loop {
         seats.wait();
         match listener.accept() {
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -15,6 +15,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{debug, error, info};
@@ -89,6 +90,8 @@
     /// Names of the values of a load report; none where probes bring none.
     pub report: Vec<String>,
     pub wires: Arc<Wires>,
+    /// Set once a list of hosts is known: from then on queries can be decided.
+    pub ready: Arc<AtomicBool>,
     /// How late after a query's end its answer still counts.
     pub slack: Duration,
     pub mail: Arc<Mailbox<Word>>,
@@ -129,7 +132,7 @@
         module
     }
 
-    pub fn run(mut self) {
+    pub fn run(&mut self) {
         self.given.mail.wake_by(Wake::Park(coroutine::current()));
         loop {
             let wait = catch_unwind(AssertUnwindSafe(|| self.step())).unwrap_or_else(|_| {
@@ -248,6 +251,9 @@
                 self.peers.insert(id, Peer { entry: entry.clone(), mail });
             }
         }
+        if !self.peers.is_empty() {
+            self.given.ready.store(true, Ordering::Relaxed);
+        }
         let hosts = entries.into_iter().map(|entry| entry.listing).collect();
         self.events.push_back(Event::Listed { scope, hosts });
     }
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -10,20 +10,24 @@
 use crate::mailbox::Mailbox;
 use crate::module::{Given, Module};
 use crate::told::Told;
-use may::coroutine::Builder;
+use may::coroutine::{self, Builder};
 use may::net::TcpListener;
+use may::sync::Semphore;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tracing::info;
+use tracing::{error, info};
 
 /// In words of eight bytes: a connection's actor, and one that parses JSON.
 const STACK: usize = 0x2000;
 const BIG_STACK: usize = 0x20000;
 /// After a planned stop, new connections come for 0.4 s and queries on open ones for 0.2 s more.
 const STILL_COMING: Duration = Duration::from_millis(650);
+/// The wait before an actor that panicked is started again.
+const AGAIN: Duration = Duration::from_millis(10);
 /// How often the last queries are looked for, and how long they may take besides their own time.
 const LOOK: Duration = Duration::from_millis(10);
 const LAST: Duration = Duration::from_millis(500);
@@ -56,11 +60,12 @@
         let (clock, caps) = (Clock::start(), Caps::of(&told.limits));
         let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
         let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
+        let ready = Arc::new(AtomicBool::new(false));
         let door = Arc::new(Door {
             clock,
             module: mail.clone(),
             module_words: caps.module_words,
-            ready: AtomicBool::new(false),
+            ready: ready.clone(),
             closing: AtomicBool::new(false),
             longest: longest.unwrap_or_default(),
             clients: Mutex::new(BTreeMap::new()),
@@ -88,23 +93,23 @@
             seed: told.seed,
             report: told.wiring.report,
             wires,
+            ready,
             slack: told.wiring.answer_slack,
             mail: mail.clone(),
         };
-        let module = Module::new(given, known, purges);
+        let mut module = Module::new(given, known, purges);
         let list = List { reading, mail: list_mail.clone(), module: mail };
         let chance = oorandom::Rand64::new(u128::from(told.seed));
-        let board = Board { address: told.board, last: told.known.rev, list: list_mail, chance };
+        let mut board = Board { address: told.board, last: told.known.rev, list: list_mail, chance };
         let listener = TcpListener::bind(told.listen)?;
         let listens_at = listener.local_addr()?;
         let mut service = Service { phase: Phase::Starting, listens_at, door: door.clone() };
         spawn("module", BIG_STACK, move || module.run())?;
         spawn("list", BIG_STACK, move || list.run())?;
         spawn("board", BIG_STACK, move || board.run())?;
-        let looked = door.clone();
+        let (looked, seats) = (door.clone(), Arc::new(Semphore::new(caps.clients)));
         spawn("look", STACK, move || listener::look(&looked))?;
-        spawn("listener", STACK, move || listener::run(listener, door, caps.clients))?;
-        service.door.ready.store(true, Ordering::Relaxed);
+        spawn("listener", STACK, move || listener::run(&listener, &door, &seats))?;
         service.enter(Phase::Serving);
         Ok(service)
     }
@@ -142,7 +147,14 @@
     }
 }
 
-fn spawn(name: &str, stack: usize, actor: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+/// Starts one of the dispatcher's own parts. One that panics is started again: without it nothing is decided,
+/// told or taken in.
+fn spawn(name: &'static str, stack: usize, mut actor: impl FnMut() + Send + 'static) -> std::io::Result<()> {
+    let lasting = move || loop {
+        let ended = catch_unwind(AssertUnwindSafe(&mut actor));
+        error!(name, panicked = ended.is_err(), "actor panicked");
+        coroutine::sleep(AGAIN);
+    };
     // Safe as long as actors use no thread-local values across a wait and keep to their stacks.
-    unsafe { Builder::new().name(name.to_string()).stack_size(stack).spawn(actor).map(|_| ()) }
+    unsafe { Builder::new().name(name.to_string()).stack_size(stack).spawn::<_, ()>(lasting).map(|_| ()) }
 }
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -215,6 +215,7 @@
 #[test_case(include_str!("scenarios/hosts.txt"); "hosts")]
 #[test_case(include_str!("scenarios/silent.txt"); "silent")]
 #[test_case(include_str!("scenarios/notices.txt"); "notices")]
+#[test_case(include_str!("scenarios/late-list.txt"); "late list")]
 #[test_case(include_str!("scenarios/panic.txt"); "panic")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
