Idle clients make room when all seats are taken; a stop waits for answers to go out whole

Seen with a small probe on the release build (one played host, loopback): behind 1,000 connections that say nothing a further client waited over 12 s for a seat, as each third of them held theirs for the full 8 s. Also: a query counted as settled when its answer was handed to the connection's actor, so that an exit could cut a long one short (line at fault: fetch_sub in answered, client.rs); it now counts until written. Test: crowd.txt.

--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -19,6 +19,9 @@
 /// A client closes a connection that is idle for 4 s; one that has said nothing whole for twice that is gone.
 const IDLE: Duration = Duration::from_secs(8);
 
+/// The same while others wait for a seat.
+const IDLE_WHEN_CROWDED: Duration = Duration::from_secs(1);
+
 pub enum ClientWord {
     Answer(QueryId, Answer),
     /// Look whether the connection has outlived its use.
@@ -34,12 +37,15 @@
     pub ready: Arc<AtomicBool>,
     /// Connections are closed as soon as no query is open on them.
     pub closing: AtomicBool,
+    /// Clients wait for a seat.
+    pub crowded: AtomicBool,
     /// The longest time that a query, and so the writing of an answer, may take.
     pub longest: Duration,
     /// The mailboxes of all connections.
     pub clients: Mutex<BTreeMap<u64, Arc<Mailbox<ClientWord>>>>,
     pub next_client: AtomicU64,
     pub next_query: AtomicU64,
+    /// Queries whose answer has not gone out whole.
     pub open: AtomicUsize,
 }
 
@@ -67,6 +73,8 @@
     mail: Arc<Mailbox<ClientWord>>,
     buffer: Buffer,
     open: Option<Open>,
+    /// Counted in `Door::open`.
+    owing: bool,
     /// What is being written, how much of it is out, and whether the connection ends after it.
     out: Vec<u8>,
     body: Vec<u8>,
@@ -89,6 +97,7 @@
         // One head, and the start of the next.
         buffer: Buffer::new(2 * front::MOST_HEAD),
         open: None,
+        owing: false,
         out: Vec::new(),
         body: Vec::new(),
         written: 0,
@@ -103,8 +112,8 @@
     if let Some(open) = client.open.take() {
         debug!(query = open.query.0, ended, "client left");
         door.module.send(Word::Left(open.query));
-        door.open.fetch_sub(1, Ordering::Relaxed);
     }
+    client.settled();
 }
 
 impl Client<'_> {
@@ -141,11 +150,17 @@
 
     fn answered(&mut self, query: QueryId, answer: Answer) -> bool {
         let Some(open) = self.open.take_if(|open| open.query == query) else { return false };
-        self.door.open.fetch_sub(1, Ordering::Relaxed);
         self.answer(answer, open.keep);
         true
     }
 
+    /// Nothing is owed on this connection any more.
+    fn settled(&mut self) {
+        if std::mem::take(&mut self.owing) {
+            self.door.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
     /// Guards against connections that hold a seat for nothing: a client that vanished, one that sends its
     /// head in crumbs, one that reads nothing. Where a query is open its own time limit holds.
     fn outlived(&self) -> bool {
@@ -153,7 +168,11 @@
         match (&self.open, self.writing()) {
             (Some(_), _) => false,
             (None, true) => still > self.door.longest,
-            (None, false) => still > IDLE || self.door.closing.load(Ordering::Relaxed),
+            (None, false) => {
+                let crowded = self.door.crowded.load(Ordering::Relaxed);
+                let most = if crowded { IDLE_WHEN_CROWDED } else { IDLE };
+                still > most || self.door.closing.load(Ordering::Relaxed)
+            }
         }
     }
 
@@ -197,6 +216,7 @@
                 let query = QueryId(self.door.next_query.fetch_add(1, Ordering::Relaxed));
                 self.open = Some(Open { query, keep: head.keep });
                 self.door.open.fetch_add(1, Ordering::Relaxed);
+                self.owing = true;
                 let (client, arrived) = (self.mail.clone(), self.door.clock.now());
                 self.door.module.send(Word::Asked { query, ask, client, arrived });
             }
@@ -234,6 +254,9 @@
             }
         }
         (self.out, self.body, self.written) = (Vec::new(), Vec::new(), 0);
+        if self.open.is_none() {
+            self.settled();
+        }
         Ok(wrote)
     }
 }
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -3,6 +3,7 @@
 use crate::client::{self, Door};
 use may::net::TcpListener;
 use may::sync::Semphore;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::warn;
@@ -22,7 +23,12 @@
 
 pub fn run(listener: &TcpListener, door: &Arc<Door>, seats: &Arc<Semphore>) {
     loop {
-        seats.wait();
+        if !seats.try_wait() {
+            warn!("all seats for clients are taken; idle ones are closed sooner");
+            door.crowded.store(true, Ordering::Relaxed);
+            seats.wait();
+            door.crowded.store(false, Ordering::Relaxed);
+        }
         match listener.accept() {
             Ok((stream, _)) => {
                 let (door, seats) = (door.clone(), seats.clone());
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -67,6 +67,7 @@
             module_words: caps.module_words,
             ready: ready.clone(),
             closing: AtomicBool::new(false),
+            crowded: AtomicBool::new(false),
             longest: longest.unwrap_or_default(),
             clients: Mutex::new(BTreeMap::new()),
             next_client: AtomicU64::new(1),
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays a scenario against a whole dispatcher on loopback sockets. A line is a party and what it does:
 //!
 //!     host NAME cache|parent|origin     listed at the start, at a port of its own; `none` after it: nothing listens
-//!     start [products=N]                the dispatcher, with N products named in place of those told
+//!     start [unknown-product] [sockets=N]   the dispatcher; with a product that the decisions don't know, with a limit
 //!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks for an object, connecting first if it has to
 //!     a sends TEXT                      raw, with \r \n; a gets STATUS WORD...: one answer, holding all words
 //!     a closes | a ended                the client leaves; the dispatcher has closed
@@ -116,6 +116,9 @@
         self.party("board").listener = Some(board);
         value["listen"] = json!("127.0.0.1:0");
         value["known"]["notices"][0]["pool"]["instances"] = json!(self.instances);
+        if let Some(sockets) = words.iter().find_map(|word| word.strip_prefix("sockets=")) {
+            value["limits"]["sockets"] = json!(sockets.parse::<usize>().unwrap());
+        }
         let mut told = Told::read(&value.to_string()).unwrap();
         if words.contains(&"unknown-product") {
             told.wiring.products.push("unknown".to_string());
@@ -216,6 +219,7 @@
 #[test_case(include_str!("scenarios/silent.txt"); "silent")]
 #[test_case(include_str!("scenarios/notices.txt"); "notices")]
 #[test_case(include_str!("scenarios/late-list.txt"); "late list")]
+#[test_case(include_str!("scenarios/crowd.txt"); "crowd")]
 #[test_case(include_str!("scenarios/panic.txt"); "panic")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
