A planned stop answers all before the program is killed; tests of told faults and caps

Read in PROTOCOL: SIGKILL may come 3.7 s after SIGTERM, whatever a product's outer limit; with a product of 5 s the stop waited up to 5.5 s for what was open (looks loop in service.rs), so a query could be lost. Now queries taken while leaving get no more time than the program has, and what is open then is answered as failed just before.

--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -29,6 +29,10 @@
         arrived: Duration,
     },
     Left(QueryId),
+    /// The program ends; whatever is unanswered by then would be lost.
+    Leaving {
+        until: Duration,
+    },
     Answered {
         key: LegKey,
         answer: hostline::Answer,
@@ -109,6 +113,7 @@
     peers: BTreeMap<HostId, Peer>,
     due: BinaryHeap<Reverse<(Duration, Due)>>,
     events: VecDeque<Event>,
+    until: Option<Duration>,
 }
 
 impl Module {
@@ -124,6 +129,7 @@
             peers: BTreeMap::new(),
             due: BinaryHeap::new(),
             events: VecDeque::new(),
+            until: None,
         };
         let actions = module.decisions.start();
         actions.into_iter().for_each(|action| module.act(action));
@@ -199,6 +205,10 @@
                     self.forget(query);
                 }
             }
+            Word::Leaving { until } => {
+                self.until = Some(until);
+                self.due.extend(self.open.keys().map(|id| Reverse((until, Due::Outer(*id)))));
+            }
             Word::Answered { key, answer } => self.answered(key, answer),
             Word::Fell { key, outcome } => self.end_leg(key, outcome, None, Duration::ZERO),
             Word::Probed { tag, answer } => {
@@ -219,7 +229,7 @@
         let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
             return client.send(ClientWord::Answer(id, Answer::Wrong(404, "unknown class")));
         };
-        let ends = arrived + ask.patience;
+        let ends = (arrived + ask.patience).min(self.until.unwrap_or(Duration::MAX));
         let query = Query {
             id,
             product: ProductId(product),
@@ -445,9 +455,14 @@
                 Due::Probe(tag) => self.end_probe(tag, Outcome::TimedOut, Vec::new()),
                 Due::Timer(timer) => self.events.push_back(Event::TimerDue(timer)),
                 Due::Outer(id) => {
-                    // Guards against a query that nothing answers: the module is told as if the client left.
+                    // Guards against a query that nothing answers in time, or before the program's end: the module
+                    // is told as if the client left.
                     if self.open.get(&id).is_some_and(|open| !open.answered) {
-                        error!(query = id.0, "no answer from the module in time");
+                        error!(
+                            query = id.0,
+                            leaving = self.until.is_some(),
+                            "no answer from the module in time"
+                        );
                         self.answer(id, Answer::Terminated);
                         self.events.push_back(Event::ClientLeft(id));
                     }
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -8,7 +8,7 @@
 use crate::list::{List, Reading};
 use crate::listener;
 use crate::mailbox::Mailbox;
-use crate::module::{Given, Module};
+use crate::module::{Given, Module, Word};
 use crate::told::Told;
 use may::coroutine::{self, Builder};
 use may::net::TcpListener;
@@ -28,9 +28,12 @@
 const STILL_COMING: Duration = Duration::from_millis(650);
 /// The wait before an actor that panicked is started again.
 const AGAIN: Duration = Duration::from_millis(10);
-/// How often the last queries are looked for, and how long they may take besides their own time.
+/// The program is not killed before the longest outer limit, or this if it is shorter, has passed after that.
+const LONGEST_HEEDED: Duration = Duration::from_secs(3);
+/// Left of that time for the last answers to go out.
+const TO_GO_OUT: Duration = Duration::from_millis(150);
+/// How often the last queries are looked for.
 const LOOK: Duration = Duration::from_millis(10);
-const LAST: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -131,15 +134,13 @@
     /// A planned stop, to its end; blocks the calling thread.
     pub fn stop(&mut self) {
         self.enter(Phase::Leaving);
+        let end = self.door.clock.now() + STILL_COMING + self.door.longest.min(LONGEST_HEEDED);
+        self.door.module.send_urgent(Word::Leaving { until: end - TO_GO_OUT });
         std::thread::sleep(STILL_COMING);
         self.enter(Phase::Finishing);
         self.door.closing.store(true, Ordering::Relaxed);
         self.door.look();
-        let looks = (self.door.longest + LAST).as_millis() / LOOK.as_millis();
-        for _ in 0..looks {
-            if self.door.open.load(Ordering::Relaxed) == 0 {
-                break;
-            }
+        while self.door.open.load(Ordering::Relaxed) > 0 && self.door.clock.now() < end {
             std::thread::sleep(LOOK);
         }
         // The last answers are in the sockets' hands once their actors have run.
--- /dev/null
+++ b/crates/rockflow-dispatcher/tests/told.rs
@@ -0,0 +1,54 @@
+//! What a dispatcher is told: faults name their key, and nested settings read as dotted ones do.
+
+use rockflow_dispatcher::caps::Caps;
+use rockflow_dispatcher::Told;
+use rockflow_facts::Pairs;
+use serde_json::{json, Value};
+use test_case::test_case;
+
+fn example() -> Value {
+    serde_json::from_str(include_str!("../../../deploy/example.json")).unwrap()
+}
+
+#[test_case("/listen", None, "listen is missing")]
+#[test_case("/listen", Some(json!("nowhere")), "listen is no address with a port")]
+#[test_case("/seed", Some(json!("xyz")), "seed is no hexadecimal number")]
+#[test_case("/limits/sockets", Some(json!(0)), "limits.sockets is no count")]
+#[test_case("/known", Some(json!({"rev": 1})), "known: missing field `notices`")]
+#[test_case("/settings/az", None, "settings: az is missing")]
+#[test_case("/settings/grades/1/name", None, "settings: grades.1.name is missing")]
+#[test_case("/settings/rules/startCapacity", Some(json!(-1)), "settings: rules.startCapacity does not parse")]
+#[test_case("/settings/limits/connIdleUs", Some(json!("x")), "settings: limits.connIdleUs does not parse")]
+fn faults(path: &str, value: Option<Value>, what: &str) {
+    let mut told = example();
+    let (parent, key) = path.rsplit_once('/').unwrap();
+    let parent = told.pointer_mut(parent).unwrap().as_object_mut().unwrap();
+    match value {
+        Some(value) => parent.insert(key.to_string(), value),
+        None => parent.remove(key),
+    };
+    assert_eq!(Told::read(&told.to_string()).err().as_deref(), Some(what));
+}
+
+#[test]
+fn nested_settings_read_as_dotted_lines() {
+    let nested =
+        json!({"az": 1, "a": {"b": [true, 2.5], "c": "one, two"}, "grades": [{"name": "x"}, {"name": "y"}]});
+    let (nested, dotted) = (Pairs::from_json(&nested), "az=1\na.b=true,2.5\na.c=one__two\ngrades.count=2\n");
+    let dotted = Pairs::from_lines(&format!("{dotted}grades.0.name=x\ngrades.1.name=y\n"));
+    for key in ["az", "a.b", "a.c", "grades.count", "grades.0.name", "grades.1.name"] {
+        assert_eq!(nested.text(key), dotted.text(key));
+    }
+}
+
+#[test_case(192, 1024)]
+#[test_case(16, 64)]
+#[test_case(2048, 4096)]
+fn caps_keep_the_told_limits(memory_mb: usize, sockets: usize) {
+    let mut told = example();
+    told["limits"] = json!({"memory_mb": memory_mb, "sockets": sockets});
+    let caps = Caps::of(&Told::read(&told.to_string()).unwrap().limits);
+    let (answer, memory) = (rockflow_protocol::hostline::MOST_ANSWER, memory_mb * 1024 * 1024);
+    assert!(caps.clients + caps.hosts < sockets);
+    assert!(caps.clients * rockflow_protocol::MOST_BODY + caps.hosts * (answer + caps.line_out) < memory);
+}
