A host that is gone still hears of call-offs; wants called off before they go out are dropped

Read in the code: after a host left the list its actor ended, so a call-off or time limit of a leg still out there reached nobody (retire in module.rs), the line kept the leg for ever and never closed. The leg now keeps the way to its host, whose actor ends with its last line. A want whose time ran out while its connection came up was written with its never_mind behind it; both are now dropped.

--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -6,6 +6,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_appender::non_blocking::NonBlockingBuilder;
+
+/// Lines that may wait for whoever reads the log; more are dropped.
+const MOST_LOG_LINES: usize = 4096;
 
 /// Decides where objects are served, kept and filled from, and serves them.
 #[derive(Parser)]
@@ -83,7 +87,8 @@
     // Before anything else: a stop that is asked for during the start is kept till the start is done.
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|what| format!("signals: {what}"))?;
     // Written by a thread of its own, so that no coroutine waits for whoever reads the log.
-    let (log, _guard) = tracing_appender::non_blocking(std::io::stderr());
+    let log = NonBlockingBuilder::default().buffered_lines_limit(MOST_LOG_LINES);
+    let (log, _guard) = log.finish(std::io::stderr());
     tracing_subscriber::fmt().with_writer(log).with_max_level(level).with_ansi(false).init();
     let told = source.read()?;
     Service::set_up();
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -34,6 +34,7 @@
     CloseIdle,
     /// The host is gone: what is out may end, nothing new comes.
     Retire,
+    LineOver,
 }
 
 /// What all lines to hosts share.
@@ -62,8 +63,8 @@
 impl Host {
     pub fn run(self) {
         self.mail.wake_by(Wake::Park(coroutine::current()));
-        let mut lines: Vec<Arc<Line>> = Vec::new();
-        loop {
+        let (mut lines, mut retired): (Vec<Arc<Line>>, bool) = (Vec::new(), false);
+        while !retired || !lines.is_empty() {
             let Some(order) = self.mail.take() else {
                 coroutine::park();
                 continue;
@@ -93,9 +94,10 @@
                 }
                 Order::CloseIdle => lines.iter().for_each(|line| line.send(LineWord::CloseIdle)),
                 Order::Retire => {
+                    retired = true;
                     lines.iter().for_each(|line| line.send(LineWord::Retire));
-                    return;
                 }
+                Order::LineOver => {}
             }
         }
     }
@@ -107,7 +109,7 @@
             return None;
         }
         lines.iter().filter(|line| line.is_spent(&self.wires)).for_each(|line| line.send(LineWord::Retire));
-        let line = Line::start(self.name.clone(), self.address, self.wires.clone());
+        let line = Line::start(self.name.clone(), self.address, self.wires.clone(), self.mail.clone());
         lines.push(line.clone());
         Some(line)
     }
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,6 +1,6 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
-use crate::host::{LegKey, Wires};
+use crate::host::{LegKey, Order, Wires};
 use crate::mailbox::{Mailbox, Wake};
 use crate::module::Word;
 use may::io::WaitIo;
@@ -42,7 +42,12 @@
 }
 
 impl Line {
-    pub fn start(name: String, address: SocketAddr, wires: Arc<Wires>) -> Arc<Line> {
+    pub fn start(
+        name: String,
+        address: SocketAddr,
+        wires: Arc<Wires>,
+        host: Arc<Mailbox<Order>>,
+    ) -> Arc<Line> {
         let line = Arc::new(Line {
             mail: Mailbox::new(),
             over: AtomicBool::new(false),
@@ -56,6 +61,7 @@
         may::go!(move || {
             run(&name, address, &wires, &shared);
             wires.lines.fetch_sub(1, Ordering::Relaxed);
+            host.send(Order::LineOver);
         });
         line
     }
@@ -155,11 +161,7 @@
 impl Wire<'_> {
     fn serve(&mut self) {
         loop {
-            let mut moved = false;
-            while let Some(word) = self.shared.mail.take() {
-                self.carry(word);
-                moved = true;
-            }
+            let mut moved = self.read_mail();
             match self.write().and_then(|wrote| Ok(wrote | self.read()?)) {
                 Ok(more) => moved |= more,
                 Err(what) if self.legs.is_empty() => {
@@ -179,6 +181,26 @@
         }
     }
 
+    fn read_mail(&mut self) -> bool {
+        let words: Vec<_> = std::iter::from_fn(|| self.shared.mail.take()).collect();
+        let called_off = |word: &LineWord| match word {
+            LineWord::NeverMind { key, .. } => Some(*key),
+            _ => None,
+        };
+        let called_off: BTreeSet<_> = words.iter().filter_map(called_off).collect();
+        let some = !words.is_empty();
+        for word in words {
+            match word {
+                // Guards against wants that go out after their time, when the connection came up late.
+                LineWord::Want { key, id, .. } if called_off.contains(&key) => {
+                    lock(&self.shared.unanswered).remove(&id);
+                }
+                word => self.carry(word),
+            }
+        }
+        some
+    }
+
     fn carry(&mut self, word: LineWord) {
         let now = self.wires.clock.now();
         match word {
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -59,10 +59,20 @@
 
 struct LegOut {
     host: HostId,
+    /// Where its host is reached, also once that is no longer listed.
+    mail: Option<Arc<Mailbox<Order>>>,
     sent: Duration,
     out: bool,
 }
 
+impl LegOut {
+    fn never_mind(&self, key: LegKey, unheard: bool) {
+        if let Some(mail) = &self.mail {
+            mail.send(Order::NeverMind { key, unheard });
+        }
+    }
+}
+
 struct Open {
     ask: Box<Ask>,
     client: Arc<Mailbox<ClientWord>>,
@@ -173,10 +183,7 @@
         for open in std::mem::take(&mut self.open) {
             let (id, open) = open;
             for (no, leg) in open.legs.iter().enumerate().filter(|(_, leg)| leg.out) {
-                let key = (id, LegNo(no as u16));
-                if let Some(mail) = self.peers.get(&leg.host).and_then(|peer| peer.mail.as_ref()) {
-                    mail.send(Order::NeverMind { key, unheard: false });
-                }
+                leg.never_mind((id, LegNo(no as u16)), false);
             }
             if !open.answered {
                 open.client.send(ClientWord::Answer(id, Answer::Terminated));
@@ -312,13 +319,14 @@
 
     fn send(&mut self, id: QueryId, leg: Leg) {
         let now = self.given.clock.now();
+        let mail = self.mail_of(leg.host);
         let Some(open) = self.open.get_mut(&id) else {
             return error!(query = id.0, "leg of an unknown query");
         };
         let key = (id, LegNo(open.legs.len() as u16));
         let left = open.ends.saturating_sub(now);
         let wait = leg.limit.map_or(left, |limit| limit.min(left));
-        open.legs.push(LegOut { host: leg.host, sent: now, out: true });
+        open.legs.push(LegOut { host: leg.host, mail: mail.clone(), sent: now, out: true });
         self.due.push(Reverse((now + wait, Due::Leg(key))));
         let source =
             leg.source.and_then(|source| self.peers.get(&source)).map(|peer| peer.entry.name.as_str());
@@ -339,7 +347,7 @@
             seen: open.ask.seen.as_deref(),
         };
         let order = Order::Want { key, id: open.ask.call_id.clone(), line: line.encode() };
-        match self.mail_of(leg.host) {
+        match mail {
             Some(mail) => mail.send(order),
             None => self.end_leg(key, Outcome::NotSent, None, Duration::ZERO),
         }
@@ -380,10 +388,7 @@
     fn call_off(&mut self, key: LegKey, outcome: Outcome) {
         let Some(open) = self.open.get(&key.0) else { return };
         let Some(leg) = open.legs.get(usize::from(key.1 .0)).filter(|leg| leg.out) else { return };
-        let (host, unheard) = (leg.host, outcome == Outcome::TimedOut);
-        if let Some(mail) = self.peers.get(&host).and_then(|peer| peer.mail.as_ref()) {
-            mail.send(Order::NeverMind { key, unheard });
-        }
+        leg.never_mind(key, outcome == Outcome::TimedOut);
         self.end_leg(key, outcome, None, Duration::ZERO);
     }
 
