--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -10,6 +10,7 @@
 use rockflow_protocol::Buffer;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,7 +20,7 @@
 /// A client closes a connection that is idle for 4 s; one that has said nothing whole for twice that is gone.
 const IDLE: Duration = Duration::from_secs(8);
 
-/// The same while others wait for a seat.
+/// The same while others wait for a seat, and for a client to close after its last answer.
 const IDLE_WHEN_CROWDED: Duration = Duration::from_secs(1);
 
 pub enum ClientWord {
@@ -80,6 +81,7 @@
     body: Vec<u8>,
     written: usize,
     last: bool,
+    lingering: bool,
     /// When the connection last moved on: it came up, a query came, an answer was given or a part of it went.
     moved: Duration,
 }
@@ -102,6 +104,7 @@
         body: Vec::new(),
         written: 0,
         last: false,
+        lingering: false,
         moved: door.clock.now(),
     };
     let ended = catch_unwind(AssertUnwindSafe(|| client.serve())).unwrap_or_else(|_| {
@@ -128,12 +131,12 @@
                     ClientWord::Look => {}
                 }
             }
-            if self.open.is_none() && !self.writing() {
+            if self.open.is_none() && !self.writing() && !self.last {
                 moved |= self.read_head();
             }
             match self.write() {
                 Err(_) => return "write failed",
-                Ok(_) if self.last && !self.writing() => return "closed",
+                Ok(_) if self.last && !self.writing() => moved |= self.linger(),
                 Ok(wrote) => moved |= wrote,
             }
             match self.fill() {
@@ -154,6 +157,17 @@
         true
     }
 
+    /// Guards against an answer that is lost to the reset of a connection closed with bytes unread: our side is
+    /// closed, and what still comes is read away till the client closes too.
+    fn linger(&mut self) -> bool {
+        self.buffer.consume(self.buffer.filled().len());
+        let first = !std::mem::replace(&mut self.lingering, true);
+        if first {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+        first
+    }
+
     /// Nothing is owed on this connection any more.
     fn settled(&mut self) {
         if std::mem::take(&mut self.owing) {
@@ -170,7 +184,7 @@
             (None, true) => still > self.door.longest,
             (None, false) => {
                 let crowded = self.door.crowded.load(Ordering::Relaxed);
-                let most = if crowded { IDLE_WHEN_CROWDED } else { IDLE };
+                let most = if crowded || self.lingering { IDLE_WHEN_CROWDED } else { IDLE };
                 still > most || self.door.closing.load(Ordering::Relaxed)
             }
         }
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //!     start [unknown-product] [sockets=N]   the dispatcher; with a product that the decisions don't know, with a limit
 //!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks for an object, connecting first if it has to
 //!     a sends TEXT                      raw, with \r \n; a gets STATUS WORD...: one answer, holding all words
+//!     a pours N                         sends so many bytes of no meaning
 //!     a closes | a ended                the client leaves; the dispatcher has closed
 //!     c takes                           host c accepts a connection, which counts from then on
 //!     c gets WORD...                    a line holding all words; its id is remembered
@@ -180,6 +181,7 @@
                 self.client(name).send(&raw())
             }
             (_, "sends") => self.party(name).send(&raw()),
+            (_, "pours") => self.client(name).send(&"x".repeat(rest[0].parse().unwrap())),
             (_, "takes") => self.party(name).takes(),
             (_, "gets") if rest[0].parse::<u16>().is_ok() => {
                 let answer = self.party(name).answer();
@@ -220,6 +222,7 @@
 #[test_case(include_str!("scenarios/notices.txt"); "notices")]
 #[test_case(include_str!("scenarios/late-list.txt"); "late list")]
 #[test_case(include_str!("scenarios/crowd.txt"); "crowd")]
+#[test_case(include_str!("scenarios/silent-board.txt"); "silent board")]
 #[test_case(include_str!("scenarios/panic.txt"); "panic")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
