Answers that are here go ahead of what is due; no query outlives its product's limit

Read in the code: the module's actor rang its time limits before it read its mail, so that a stall of its own timed legs out whose answers were waiting; now mail goes first for half of the told slack. A client's word for its patience is cut to its product's outer limit, which bounds what is held for it; a connection whose query is never answered ends after twice the longest limit.

--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -176,11 +176,12 @@
     }
 
     /// Guards against connections that hold a seat for nothing: a client that vanished, one that sends its
-    /// head in crumbs, one that reads nothing. Where a query is open its own time limit holds.
+    /// head in crumbs, one that reads nothing. Where a query is open its own time limit holds, and this only
+    /// if that should fail.
     fn outlived(&self) -> bool {
         let still = self.door.clock.now().saturating_sub(self.moved);
         match (&self.open, self.writing()) {
-            (Some(_), _) => false,
+            (Some(_), _) => still > 2 * self.door.longest,
             (None, true) => still > self.door.longest,
             (None, false) => {
                 let crowded = self.door.crowded.load(Ordering::Relaxed);
@@ -232,6 +233,7 @@
                 self.door.open.fetch_add(1, Ordering::Relaxed);
                 self.owing = true;
                 let (client, arrived) = (self.mail.clone(), self.door.clock.now());
+                self.moved = arrived;
                 self.door.module.send(Word::Asked { query, ask, client, arrived });
             }
         }
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -167,7 +167,10 @@
     /// Takes the next word, or says how long there is nothing to do; none: until a word comes.
     fn step(&mut self) -> Option<Duration> {
         self.decide();
-        self.ring();
+        // Guards against a delay of our own that makes answers late which are here already: they go first, as
+        // long as what is due is not late for it.
+        let patience = if self.given.mail.is_empty() { Duration::ZERO } else { self.given.slack / 2 };
+        self.ring(self.given.clock.now().saturating_sub(patience));
         if let Some(word) = self.given.mail.take() {
             self.hear(word);
             return Some(Duration::ZERO);
@@ -236,7 +239,10 @@
         let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
             return client.send(ClientWord::Answer(id, Answer::Wrong(404, "unknown class")));
         };
-        let ends = (arrived + ask.patience).min(self.until.unwrap_or(Duration::MAX));
+        // No client waits longer than its product's outer limit, whatever its header says.
+        let most = self.given.deployment.products.get(product).map(|product| product.outer_limit);
+        let patience = most.map_or(ask.patience, |most| ask.patience.min(most));
+        let ends = (arrived + patience).min(self.until.unwrap_or(Duration::MAX));
         let query = Query {
             id,
             product: ProductId(product),
@@ -447,11 +453,10 @@
         }
     }
 
-    /// Whatever is due by now.
-    fn ring(&mut self) {
-        let now = self.given.clock.now();
+    /// Whatever was due by then.
+    fn ring(&mut self, by: Duration) {
         while let Some(Reverse((at, due))) = self.due.peek().copied() {
-            if at > now {
+            if at > by {
                 return;
             }
             self.due.pop();
