Standing of the dispatcher on sockets; a flood is tried in a scenario

Guess: a peer that never stops sending keeps the one worker to itself, as its actor reads on without giving way. Checked with a scenario (a client that floods, another that asks for health) without and with a yield after each turn of the loops in client.rs and line.rs: served both times, since the sender's wake-ups leave the socket empty often enough. The yield was taken out again; the scenario stays.

--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -4,7 +4,7 @@
 //!     start [unknown-product] [sockets=N]   the dispatcher; with a product that the decisions don't know, with a limit
 //!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks for an object, connecting first if it has to
 //!     a sends TEXT                      raw, with \r \n; a gets STATUS WORD...: one answer, holding all words
-//!     a pours N                         sends so many bytes of no meaning
+//!     a pours N | a floods              sends so many bytes of no meaning; without end, beside what follows
 //!     a closes | a ended                the client leaves; the dispatcher has closed
 //!     c takes                           host c accepts a connection, which counts from then on
 //!     c gets WORD...                    a line holding all words; its id is remembered
@@ -182,6 +182,10 @@
             }
             (_, "sends") => self.party(name).send(&raw()),
             (_, "pours") => self.client(name).send(&"x".repeat(rest[0].parse().unwrap())),
+            (_, "floods") => {
+                let mut stream = self.client(name).stream().get_ref().try_clone().unwrap();
+                std::thread::spawn(move || while stream.write_all(&[b'x'; 65536]).is_ok() {});
+            }
             (_, "takes") => self.party(name).takes(),
             (_, "gets") if rest[0].parse::<u16>().is_ok() => {
                 let answer = self.party(name).answer();
