--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -157,8 +157,8 @@
         true
     }
 
-    /// Guards against an answer that is lost to the reset of a connection closed with bytes unread: our side is
-    /// closed, and what still comes is read away till the client closes too.
+    /// Guards against an answer that is lost to the reset of a connection closed with bytes unread: our side
+    /// is closed, and what still comes is read away till the client closes too.
     fn linger(&mut self) -> bool {
         self.buffer.consume(self.buffer.filled().len());
         let first = !std::mem::replace(&mut self.lingering, true);
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -18,7 +18,7 @@
 
 /// Part of the told idle time after which a connection is not used again: the host may be closing it.
 const IDLE_PART: f64 = 0.8;
-/// Ids on a line that were never answered, in times the legs it carries at once; past it nothing new goes on it.
+/// Ids on a line that were never answered, in times the legs it carries at once; past it the line is spent.
 const MOST_UNANSWERED: usize = 8;
 
 pub enum LineWord {
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -157,7 +157,7 @@
             });
             match wait {
                 Some(Duration::ZERO) => {}
-                // Guards against a park without end: `may` cuts the time to whole milliseconds, and none is for ever.
+                // Guards against a park without end: `may` cuts the time to whole milliseconds, 0 is for ever.
                 Some(wait) => coroutine::park_timeout(Duration::from_millis(wait.as_millis() as u64 + 1)),
                 None => coroutine::park(),
             }
@@ -465,8 +465,8 @@
                 Due::Probe(tag) => self.end_probe(tag, Outcome::TimedOut, Vec::new()),
                 Due::Timer(timer) => self.events.push_back(Event::TimerDue(timer)),
                 Due::Outer(id) => {
-                    // Guards against a query that nothing answers in time, or before the program's end: the module
-                    // is told as if the client left.
+                    // Guards against a query that nothing answers in time, or before the program's end:
+                    // the module is told as if the client left.
                     if self.open.get(&id).is_some_and(|open| !open.answered) {
                         error!(
                             query = id.0,
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -1,14 +1,15 @@
 //! Plays a scenario against a whole dispatcher on loopback sockets. A line is a party and what it does:
 //!
-//!     host NAME cache|parent|origin     listed at the start, at a port of its own; `none` after it: nothing listens
-//!     start [unknown-product] [sockets=N]   the dispatcher; with a product that the decisions don't know, with a limit
-//!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks for an object, connecting first if it has to
-//!     a sends TEXT                      raw, with \r \n; a gets STATUS WORD...: one answer, holding all words
+//!     host NAME cache|parent|origin     listed at the start, at a port of its own
+//!     start [unknown-product] [sockets=N]   the dispatcher, with a product that the decisions don't know
+//!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks, connecting first if it has to
+//!     a sends TEXT                      raw, with \r \n
+//!     a gets STATUS WORD...             one answer, holding all words
 //!     a pours N | a floods              sends so many bytes of no meaning; without end, beside what follows
 //!     a closes | a ended                the client leaves; the dispatcher has closed
 //!     c takes                           host c accepts a connection, which counts from then on
-//!     c gets WORD...                    a line holding all words; its id is remembered
-//!     c says WORD FIELDS [BODY]         answers the remembered id; c says again ...: an earlier one, as id=HEX
+//!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
+//!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended
 //!     board takes LAST | board says JSON | board closes
 //!     stop | over                       a planned stop begins; it has come to its end
@@ -96,10 +97,10 @@
         self.parties.entry(name.to_string()).or_insert_with(fresh)
     }
 
-    fn host(&mut self, name: &str, words: &[&str]) -> String {
+    fn host(&mut self, name: &str, words: &[&str]) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        self.party(name).listener = Some(listener).filter(|_| !words.contains(&"none"));
+        self.party(name).listener = Some(listener);
         let (zone, kind) = match words[0] {
             "cache" => ("shop", "box"),
             role => ("hub", role),
@@ -107,7 +108,6 @@
         self.instances
             .push(json!({"instanceId": name, "hostPort": address, "zone": zone, "machineType": kind,
             "lifecycle": "active", "weight": 8, "startedAtMs": 0}));
-        address
     }
 
     fn start(&mut self, words: &[&str]) {
@@ -146,9 +146,7 @@
         let raw = || line.splitn(3, ' ').nth(2).unwrap_or("").replace("\\r", "\r").replace("\\n", "\n");
         let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
         match (name, verb) {
-            ("host", name) => {
-                self.host(name, rest);
-            }
+            ("host", name) => self.host(name, rest),
             ("start", _) => self.start(&words),
             ("stop", _) => {
                 let mut service = self.service.take().unwrap();
