Idle seats give way; a leg has a connection to itself; a spoilt answer costs one leg

Ruled out: hosts' errors and refusals, of which there were few, and CPU.

Now: past the seats the connection that has been still for longest gives way at once; caps follow descriptors, memory is counted by the bytes held; a request comes whole in 2 s or is told 408; what is read after a refusal is bounded. A leg has a connection to itself while there are plenty; well framed answers that nobody waits for cost nobody; an answer that stands still for the told connect time, or is 'unchanged' where no copy was named, ends its connection; Outcome::Garbled tells what a live host spoilt from the death of one (others of its connections are looked at), and the module asks the same host once more.

--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -19,16 +19,31 @@
 
 /// A client closes a connection that is idle for 4 s; one that has said nothing whole for twice that is gone.
 const IDLE: Duration = Duration::from_secs(8);
-
-/// The same while others wait for a seat, and for a client to close after its last answer.
-const IDLE_WHEN_CROWDED: Duration = Duration::from_secs(1);
+/// The time for a request to come whole: from the connection for the first, else from its first byte.
+const TO_COME_WHOLE: Duration = Duration::from_secs(2);
+/// The time, and the bytes, that a client is left to read its last answer and close.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
+/// Rounds after which a client that always has more to say lets others have their turn.
+const ROUNDS: usize = 16;
 
 pub enum ClientWord {
     Answer(QueryId, Answer),
     /// Look whether the connection has outlived its use.
     Look,
+    /// Another needs the seat: leave it, unless a request has come by now.
+    GiveWay,
+}
+
+/// What others see of a connection.
+pub struct Seat {
+    mail: Arc<Mailbox<ClientWord>>,
+    /// Since when nothing is owed on it, in microseconds; `OWED` while something is, or once it gives way.
+    still: AtomicU64,
 }
 
+const OWED: u64 = u64::MAX;
+
 /// What all client connections share.
 pub struct Door {
     pub clock: Clock,
@@ -38,12 +53,15 @@
     pub ready: Arc<AtomicBool>,
     /// Connections are closed as soon as no query is open on them.
     pub closing: AtomicBool,
-    /// Clients wait for a seat.
+    /// Every seat is taken by a query: connections end with their answers.
     pub crowded: AtomicBool,
     /// The longest time that a query, and so the writing of an answer, may take.
     pub longest: Duration,
-    /// The mailboxes of all connections.
-    pub clients: Mutex<BTreeMap<u64, Arc<Mailbox<ClientWord>>>>,
+    /// Bytes of answers that are held.
+    pub held: Arc<AtomicUsize>,
+    /// All connections, and how many may stay while nothing is owed on them.
+    pub clients: Mutex<BTreeMap<u64, Arc<Seat>>>,
+    pub seats: usize,
     pub next_client: AtomicU64,
     pub next_query: AtomicU64,
     /// Queries whose answer has not gone out whole.
@@ -52,13 +70,27 @@
 
 impl Door {
     /// No coroutine gives way while it holds this lock.
-    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Mailbox<ClientWord>>>> {
+    fn clients(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Seat>>> {
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Has every connection look whether it has outlived its use.
     pub fn look(&self) {
-        self.clients().values().for_each(|mail| mail.send(ClientWord::Look));
+        self.clients().values().for_each(|seat| seat.mail.send(ClientWord::Look));
+    }
+
+    /// Guards against connections that keep their seats for nothing while others come: past the seats, the
+    /// one on which nothing has been owed for longest gives way.
+    fn make_room(&self) {
+        let clients = self.clients();
+        if clients.len() <= self.seats {
+            return;
+        }
+        let still = |seat: &&Arc<Seat>| seat.still.load(Ordering::Relaxed);
+        if let Some(seat) = clients.values().min_by_key(still).filter(|seat| still(seat) != OWED) {
+            seat.still.store(OWED, Ordering::Relaxed);
+            seat.mail.send(ClientWord::GiveWay);
+        }
     }
 }
 
@@ -71,9 +103,12 @@
 struct Client<'a> {
     door: &'a Door,
     stream: TcpStream,
-    mail: Arc<Mailbox<ClientWord>>,
+    seat: Arc<Seat>,
     buffer: Buffer,
     open: Option<Open>,
+    /// When the request that is coming began; none: nothing of one is here.
+    begun: Option<Duration>,
+    giving_way: bool,
     /// Counted in `Door::open`.
     owing: bool,
     /// What is being written, how much of it is out, and whether the connection ends after it.
@@ -81,31 +116,36 @@
     body: Vec<u8>,
     written: usize,
     last: bool,
-    lingering: bool,
+    /// Bytes read since the last answer went out.
+    lingering: Option<usize>,
     /// When the connection last moved on: it came up, a query came, an answer was given or a part of it went.
     moved: Duration,
 }
 
 pub fn run(stream: TcpStream, door: &Door) {
     let _ = stream.set_nodelay(true);
-    let mail = Mailbox::new();
+    let (mail, now) = (Mailbox::new(), door.clock.now());
     mail.wake_by(Wake::Io(stream.waker()));
     let number = door.next_client.fetch_add(1, Ordering::Relaxed);
-    door.clients().insert(number, mail.clone());
+    let seat = Arc::new(Seat { mail, still: AtomicU64::new(now.as_micros() as u64) });
+    door.clients().insert(number, seat.clone());
+    door.make_room();
     let mut client = Client {
         door,
         stream,
-        mail,
+        seat,
         // One head, and the start of the next.
         buffer: Buffer::new(2 * front::MOST_HEAD),
         open: None,
+        begun: Some(now),
+        giving_way: false,
         owing: false,
         out: Vec::new(),
         body: Vec::new(),
         written: 0,
         last: false,
-        lingering: false,
-        moved: door.clock.now(),
+        lingering: None,
+        moved: now,
     };
     let ended = catch_unwind(AssertUnwindSafe(|| client.serve())).unwrap_or_else(|_| {
         error!(client = number, "actor panicked");
@@ -116,19 +156,26 @@
         debug!(query = open.query.0, ended, "client left");
         door.module.send(Word::Left(open.query));
     }
+    client.hold(Vec::new());
     client.settled();
 }
 
 impl Client<'_> {
     /// Returns why the connection is over.
     fn serve(&mut self) -> &'static str {
-        loop {
+        for round in 1.. {
             let mut moved = false;
-            while let Some(word) = self.mail.take() {
+            while let Some(word) = self.seat.mail.take() {
                 match word {
                     ClientWord::Answer(query, answer) => moved |= self.answered(query, answer),
-                    ClientWord::Look if self.outlived() => return "outlived",
+                    ClientWord::Look if self.outlived() => match self.begun.take() {
+                        Some(_) if !self.buffer.filled().is_empty() && !self.last => {
+                            self.answer(Answer::Wrong(408, "Request Timeout"), false);
+                        }
+                        _ => return "outlived",
+                    },
                     ClientWord::Look => {}
+                    ClientWord::GiveWay => self.giving_way = true,
                 }
             }
             if self.open.is_none() && !self.writing() && !self.last {
@@ -145,10 +192,16 @@
                 Some(Err(_)) => return "read failed",
                 None => {}
             }
+            if !moved && std::mem::take(&mut self.giving_way) && self.open.is_none() && !self.writing() {
+                return "gave way";
+            }
             if !moved {
                 self.stream.wait_io();
+            } else if round % ROUNDS == 0 {
+                may::coroutine::yield_now();
             }
         }
+        "over"
     }
 
     fn answered(&mut self, query: QueryId, answer: Answer) -> bool {
@@ -160,8 +213,10 @@
     /// Guards against an answer that is lost to the reset of a connection closed with bytes unread: our side
     /// is closed, and what still comes is read away till the client closes too.
     fn linger(&mut self) -> bool {
-        self.buffer.consume(self.buffer.filled().len());
-        let first = !std::mem::replace(&mut self.lingering, true);
+        let read = self.buffer.filled().len();
+        self.buffer.consume(read);
+        let first = self.lingering.is_none();
+        self.lingering = Some(self.lingering.unwrap_or(0) + read);
         if first {
             let _ = self.stream.shutdown(Shutdown::Write);
         }
@@ -179,14 +234,15 @@
     /// head in crumbs, one that reads nothing. Where a query is open its own time limit holds, and this only
     /// if that should fail.
     fn outlived(&self) -> bool {
-        let still = self.door.clock.now().saturating_sub(self.moved);
+        let now = self.door.clock.now();
+        let still = now.saturating_sub(self.moved);
         match (&self.open, self.writing()) {
             (Some(_), _) => still > 2 * self.door.longest,
             (None, true) => still > self.door.longest,
+            (None, false) if self.lingering.is_some() => still > LINGER,
+            (None, false) if self.door.closing.load(Ordering::Relaxed) => true,
             (None, false) => {
-                let crowded = self.door.crowded.load(Ordering::Relaxed);
-                let most = if crowded || self.lingering { IDLE_WHEN_CROWDED } else { IDLE };
-                still > most || self.door.closing.load(Ordering::Relaxed)
+                still > IDLE || self.begun.is_some_and(|begun| now.saturating_sub(begun) > TO_COME_WHOLE)
             }
         }
     }
@@ -197,10 +253,17 @@
 
     /// Reads on even while a query is open: only so it shows that a client has left.
     fn fill(&mut self) -> Option<std::io::Result<usize>> {
+        // Guards against a body of any size that is sent on after its refusal.
+        if self.lingering.is_some_and(|read| read > LINGER_BYTES) {
+            return None;
+        }
         let room = self.buffer.room()?;
         match self.stream.inner().read(room) {
             Ok(n) => {
                 self.buffer.add(n);
+                if self.open.is_none() && n > 0 {
+                    self.begun.get_or_insert(self.door.clock.now());
+                }
                 Some(Ok(n))
             }
             Err(what) if what.kind() == ErrorKind::WouldBlock => None,
@@ -216,7 +279,8 @@
         }
         let Some(head) = front::decode(self.buffer.filled()) else { return false };
         self.buffer.consume(head.length);
-        let keep = head.keep && !self.door.closing.load(Ordering::Relaxed);
+        self.begun = None;
+        let keep = head.keep;
         match head.request {
             Request::Health if self.door.ready.load(Ordering::Relaxed) => self.answer(Answer::Well, keep),
             Request::Health => self.answer(Answer::Wrong(503, "Not Ready"), keep),
@@ -232,8 +296,9 @@
                 self.open = Some(Open { query, keep: head.keep });
                 self.door.open.fetch_add(1, Ordering::Relaxed);
                 self.owing = true;
-                let (client, arrived) = (self.mail.clone(), self.door.clock.now());
+                let (client, arrived) = (self.seat.mail.clone(), self.door.clock.now());
                 self.moved = arrived;
+                self.seat.still.store(OWED, Ordering::Relaxed);
                 self.door.module.send(Word::Asked { query, ask, client, arrived });
             }
         }
@@ -241,12 +306,20 @@
     }
 
     fn answer(&mut self, answer: Answer, keep: bool) {
-        let keep = keep && !self.door.closing.load(Ordering::Relaxed);
+        let ending = [&self.door.closing, &self.door.crowded].iter().any(|flag| flag.load(Ordering::Relaxed));
+        let keep = keep && !ending;
         self.out = front::encode(&answer, keep);
-        self.body = if let Answer::Succeeded { body, .. } = answer { body } else { Vec::new() };
+        self.hold(if let Answer::Succeeded { body, .. } = answer { body } else { Vec::new() });
         (self.written, self.last, self.moved) = (0, !keep, self.door.clock.now());
     }
 
+    /// Holds this body in place of the one before.
+    fn hold(&mut self, body: Vec<u8>) {
+        self.door.held.fetch_add(body.len(), Ordering::Relaxed);
+        self.door.held.fetch_sub(self.body.len(), Ordering::Relaxed);
+        self.body = body;
+    }
+
     /// Whether anything went out.
     fn write(&mut self) -> std::io::Result<bool> {
         let mut wrote = false;
@@ -269,7 +342,15 @@
                 Err(what) => return Err(what),
             }
         }
-        (self.out, self.body, self.written) = (Vec::new(), Vec::new(), 0);
+        if wrote {
+            self.hold(Vec::new());
+            (self.out, self.written) = (Vec::new(), 0);
+            // What came behind the request that is answered now begins only here.
+            self.begun = (!self.buffer.filled().is_empty()).then_some(self.moved);
+            // One that lingers owes nothing and is the first to go.
+            let still = if self.last { 0 } else { self.moved.as_micros() as u64 };
+            self.seat.still.store(still, Ordering::Relaxed);
+        }
         if self.open.is_none() {
             self.settled();
         }
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -6,11 +6,13 @@
 use crate::module::Word;
 use may::coroutine;
 use rockflow::interface::{LegNo, Outcome, QueryId};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tracing::warn;
+use tracing::debug;
 
 /// A leg as the module knows it.
 pub type LegKey = (QueryId, LegNo);
@@ -21,6 +23,8 @@
         key: LegKey,
         id: String,
         line: Vec<u8>,
+        /// It names the client's copy, so that the answer may be that this one holds.
+        seen: bool,
     },
     /// `unheard`: its time was up, so that a line which has brought nothing since may be dead.
     NeverMind {
@@ -34,9 +38,18 @@
     CloseIdle,
     /// The host is gone: what is out may end, nothing new comes.
     Retire,
-    LineOver,
+    /// A line ended, with what was out on it and why.
+    LineOver {
+        legs: Vec<LegKey>,
+        outcome: Outcome,
+    },
 }
 
+/// How long after a connection broke its host's others are looked at: a process that dies resets them all.
+const OTHERS_FOLLOW: Duration = Duration::from_millis(4);
+/// Part of the cap on connections up to which a leg gets one to itself.
+const OWN_PART: f64 = 0.75;
+
 /// What all lines to hosts share.
 pub struct Wires {
     pub clock: Clock,
@@ -49,8 +62,24 @@
     /// Bytes that may wait to be written on one connection.
     pub line_out: usize,
     /// Connections to all hosts, and their cap.
-    pub lines: AtomicUsize,
+    pub lines: Mutex<BTreeMap<u64, Arc<Line>>>,
+    pub next_line: AtomicU64,
     pub most_lines: usize,
+    /// Bytes of answers that are held, and their cap.
+    pub held: Arc<AtomicUsize>,
+    pub most_held: usize,
+}
+
+impl Wires {
+    /// No coroutine gives way while it holds this lock.
+    pub fn lines(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Line>>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has every connection on which an answer has begun look whether it goes on.
+    pub fn look(&self) {
+        self.lines().values().filter(|line| line.is_midway()).for_each(|line| line.send(LineWord::Look));
+    }
 }
 
 pub struct Host {
@@ -71,24 +100,17 @@
             };
             lines.retain(|line| !line.is_over());
             match order {
-                Order::Want { key, id, line } => {
-                    let fits = |line: &&Arc<Line>| line.takes(&id, &self.wires);
-                    let known = lines.iter().find(fits).cloned();
-                    let Some(on) = known.or_else(|| self.open(&mut lines)) else {
+                Order::Want { key, id, line, seen } => {
+                    let Some(on) = self.line_for(&id, &mut lines) else {
                         self.wires.module.send(Word::Fell { key, outcome: Outcome::NotConnected });
                         continue;
                     };
-                    on.send(LineWord::Want { key, id, line });
-                }
-                Order::Probe { tag, load } => {
-                    let known = lines.iter().find(|line| line.takes("", &self.wires)).cloned();
-                    match known.or_else(|| self.open(&mut lines)) {
-                        Some(on) => on.send(LineWord::Probe { tag, load }),
-                        None => {
-                            self.wires.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected })
-                        }
-                    }
+                    on.send(LineWord::Want { key, id, line, seen });
                 }
+                Order::Probe { tag, load } => match self.line_for("", &mut lines) {
+                    Some(on) => on.send(LineWord::Probe { tag, load }),
+                    None => self.wires.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected }),
+                },
                 Order::NeverMind { key, unheard } => {
                     lines.iter().for_each(|line| line.send(LineWord::NeverMind { key, unheard }));
                 }
@@ -97,15 +119,42 @@
                     retired = true;
                     lines.iter().for_each(|line| line.send(LineWord::Retire));
                 }
-                Order::LineOver => {}
+                Order::LineOver { legs, outcome } if !legs.is_empty() => self.fall(legs, outcome, &lines),
+                Order::LineOver { .. } => {}
             }
         }
     }
 
+    /// Tells of legs that ended with their line. Guards against taking a reset of one connection for the death
+    /// of the process, which resets all: one that was up before and still is shows that the host lives.
+    fn fall(&self, legs: Vec<LegKey>, outcome: Outcome, lines: &[Arc<Line>]) {
+        let (module, others) = (self.wires.module.clone(), lines.to_vec());
+        may::go!(move || {
+            let mut outcome = outcome;
+            if outcome == Outcome::Broken && others.iter().any(|line| line.is_up()) {
+                coroutine::sleep(OTHERS_FOLLOW);
+                if others.iter().any(|line| line.is_up()) {
+                    outcome = Outcome::Garbled;
+                }
+            }
+            legs.into_iter().for_each(|key| module.send(Word::Fell { key, outcome }));
+        });
+    }
+
+    /// The line for a leg. What a peer spoils or leaves unanswered takes its whole connection with it, so a leg
+    /// gets one to itself as long as there are plenty; the one used last, so that what is too many ages.
+    fn line_for(&self, id: &str, lines: &mut Vec<Arc<Line>>) -> Option<Arc<Line>> {
+        let fits = lines.iter().filter(|line| line.takes(id, &self.wires));
+        let best = fits.min_by_key(|line| (line.out(), Reverse(line.used()))).cloned();
+        let many = self.wires.lines().len() as f64 >= OWN_PART * self.wires.most_lines as f64;
+        let best = best.filter(|line| line.out() == 0 || many);
+        best.or_else(|| self.open(lines))
+    }
+
     /// Another line; none past the cap. Those that will take nothing more close when their legs are over.
     fn open(&self, lines: &mut Vec<Arc<Line>>) -> Option<Arc<Line>> {
-        if self.wires.lines.load(Ordering::Relaxed) >= self.wires.most_lines {
-            warn!(host = self.name, cap = self.wires.most_lines, "no connection left for hosts");
+        if self.wires.lines().len() >= self.wires.most_lines {
+            debug!(host = self.name, cap = self.wires.most_lines, "no connection left for hosts");
             return None;
         }
         lines.iter().filter(|line| line.is_spent(&self.wires)).for_each(|line| line.send(LineWord::Retire));
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -22,17 +22,33 @@
 const MOST_UNANSWERED: usize = 8;
 
 pub enum LineWord {
-    Want { key: LegKey, id: String, line: Vec<u8> },
-    NeverMind { key: LegKey, unheard: bool },
-    Probe { tag: u64, load: bool },
+    Want {
+        key: LegKey,
+        id: String,
+        line: Vec<u8>,
+        seen: bool,
+    },
+    NeverMind {
+        key: LegKey,
+        unheard: bool,
+    },
+    Probe {
+        tag: u64,
+        load: bool,
+    },
     CloseIdle,
     Retire,
+    /// Look whether an answer that has begun goes on.
+    Look,
 }
 
 /// What the host's actor sees of a line.
 pub struct Line {
     mail: Arc<Mailbox<LineWord>>,
+    up: AtomicBool,
     over: AtomicBool,
+    /// An answer has begun.
+    midway: AtomicBool,
     /// Nothing new goes on it.
     spent: AtomicBool,
     out: AtomicUsize,
@@ -50,22 +66,42 @@
     ) -> Arc<Line> {
         let line = Arc::new(Line {
             mail: Mailbox::new(),
+            up: AtomicBool::new(false),
             over: AtomicBool::new(false),
+            midway: AtomicBool::new(false),
             spent: AtomicBool::new(false),
             out: AtomicUsize::new(0),
             used: Mutex::new(wires.clock.now()),
             unanswered: Mutex::new(BTreeSet::new()),
         });
-        wires.lines.fetch_add(1, Ordering::Relaxed);
+        let number = wires.next_line.fetch_add(1, Ordering::Relaxed);
+        wires.lines().insert(number, line.clone());
         let shared = line.clone();
         may::go!(move || {
-            run(&name, address, &wires, &shared);
-            wires.lines.fetch_sub(1, Ordering::Relaxed);
-            host.send(Order::LineOver);
+            let (legs, outcome) = run(&name, address, &wires, &shared);
+            wires.lines().remove(&number);
+            host.send(Order::LineOver { legs, outcome });
         });
         line
     }
 
+    /// The connection came up and has not ended.
+    pub fn is_up(&self) -> bool {
+        self.up.load(Ordering::Relaxed) && !self.is_over()
+    }
+
+    pub fn is_midway(&self) -> bool {
+        self.midway.load(Ordering::Relaxed)
+    }
+
+    pub fn out(&self) -> usize {
+        self.out.load(Ordering::Relaxed)
+    }
+
+    pub fn used(&self) -> Duration {
+        *lock(&self.used)
+    }
+
     pub fn is_over(&self) -> bool {
         self.over.load(Ordering::Relaxed)
     }
@@ -80,15 +116,12 @@
 
     pub fn takes(&self, id: &str, wires: &Wires) -> bool {
         let again = lock(&self.unanswered).contains(id);
-        !self.is_over()
-            && !again
-            && !self.is_spent(wires)
-            && self.out.load(Ordering::Relaxed) < wires.most_streams
+        !self.is_over() && !again && !self.is_spent(wires) && self.out() < wires.most_streams
     }
 
     /// Whether nothing new will ever go on it.
     pub fn is_spent(&self, wires: &Wires) -> bool {
-        let idle = wires.clock.now().saturating_sub(*lock(&self.used));
+        let idle = wires.clock.now().saturating_sub(self.used());
         self.spent.load(Ordering::Relaxed) || idle >= wires.idle_limit.mul_f64(IDLE_PART)
     }
 }
@@ -98,12 +131,15 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn run(name: &str, address: SocketAddr, wires: &Wires, shared: &Line) {
+/// Returns the legs that may have run, and what is known of why they ended.
+fn run(name: &str, address: SocketAddr, wires: &Wires, shared: &Line) -> (Vec<LegKey>, Outcome) {
+    let mut fallen = (Vec::new(), Outcome::Broken);
     match TcpStream::connect_timeout(&address, wires.connect_limit) {
         Ok(stream) => {
             debug!(host = name, "connected");
             let _ = stream.set_nodelay(true);
             shared.mail.wake_by(Wake::Io(stream.waker()));
+            shared.up.store(true, Ordering::Relaxed);
             let mut wire = Wire {
                 name,
                 wires,
@@ -113,16 +149,18 @@
                 legs: BTreeMap::new(),
                 probes: BTreeSet::new(),
                 buffer: Buffer::new(hostline::MOST_ANSWER),
+                held: 0,
                 heard: Duration::ZERO,
+                began: None,
                 retired: false,
+                outcome: Outcome::Garbled,
             };
             if catch_unwind(AssertUnwindSafe(|| wire.serve())).is_err() {
                 error!(host = name, "actor panicked");
             }
             shared.over.store(true, Ordering::Relaxed);
-            for (key, _) in wire.legs.into_values() {
-                wires.module.send(Word::Fell { key, outcome: Outcome::Broken });
-            }
+            wires.held.fetch_sub(wire.held, Ordering::Relaxed);
+            fallen = (wire.legs.into_values().map(|leg| leg.key).collect(), wire.outcome);
             for tag in wire.probes {
                 wires.module.send(Word::ProbeFell { tag, outcome: Outcome::Broken });
             }
@@ -141,6 +179,14 @@
             _ => {}
         }
     }
+    fallen
+}
+
+/// A leg that is out: since when, and whether it named the client's copy.
+struct LegOut {
+    key: LegKey,
+    sent: Duration,
+    seen: bool,
 }
 
 struct Wire<'a> {
@@ -149,20 +195,29 @@
     shared: &'a Line,
     stream: TcpStream,
     out: Vec<u8>,
-    /// Legs out by their id on the line, with the time they were written.
-    legs: BTreeMap<String, (LegKey, Duration)>,
+    /// Legs out by their id on the line.
+    legs: BTreeMap<String, LegOut>,
     probes: BTreeSet<u64>,
     buffer: Buffer,
-    /// When anything last came.
+    /// The part of `Wires::held` that is the buffer's.
+    held: usize,
+    /// When anything last came, and when the answer that is coming began.
     heard: Duration,
+    began: Option<Duration>,
     retired: bool,
+    /// What ends the legs that are out: a break, or what can't be used.
+    outcome: Outcome,
 }
 
 impl Wire<'_> {
     fn serve(&mut self) {
         loop {
             let mut moved = self.read_mail();
-            match self.write().and_then(|wrote| Ok(wrote | self.read()?)) {
+            let went_on = match self.standstill() {
+                Some(what) => Err(what.to_string()),
+                None => self.write().and_then(|wrote| Ok(wrote | self.read()?)),
+            };
+            match went_on {
                 Ok(more) => moved |= more,
                 Err(what) if self.legs.is_empty() => {
                     return debug!(host = self.name, what, "connection over")
@@ -192,8 +247,8 @@
         for word in words {
             match word {
                 // Guards against wants that go out after their time, when the connection came up late.
-                LineWord::Want { key, id, .. } if called_off.contains(&key) => {
-                    lock(&self.shared.unanswered).remove(&id);
+                LineWord::Want { key, ref id, .. } if called_off.contains(&key) => {
+                    lock(&self.shared.unanswered).remove(id);
                 }
                 word => self.carry(word),
             }
@@ -204,20 +259,21 @@
     fn carry(&mut self, word: LineWord) {
         let now = self.wires.clock.now();
         match word {
-            LineWord::Want { key, id, line } => {
+            LineWord::Want { key, id, line, seen } => {
                 self.out.extend_from_slice(&line);
-                self.legs.insert(id, (key, now));
+                self.legs.insert(id, LegOut { key, sent: now, seen });
                 *lock(&self.shared.used) = now;
             }
             LineWord::NeverMind { key, unheard } => {
-                let found = self.legs.iter().find(|(_, (leg, _))| *leg == key);
-                let Some((id, sent)) = found.map(|(id, (_, sent))| (id.clone(), *sent)) else { return };
+                let found = self.legs.iter().find(|(_, leg)| leg.key == key);
+                let Some((id, sent)) = found.map(|(id, leg)| (id.clone(), leg.sent)) else { return };
                 self.legs.remove(&id);
                 self.out.extend_from_slice(&hostline::never_mind(&id));
                 let many = lock(&self.shared.unanswered).len() >= MOST_UNANSWERED * self.wires.most_streams;
                 // Guards against a machine that vanished or was cut off: the connection would stay open and
-                // silent, and after a cut it recovers late. A new one shows at once whether anyone is there.
-                if unheard && self.heard < sent || many {
+                // silent, and after a cut it recovers late. A new one shows at once whether anyone is there. And
+                // against one on which this leg alone is never answered: it is of no further use then.
+                if self.heard < sent || unheard && self.legs.is_empty() || many {
                     self.shared.spent.store(true, Ordering::Relaxed);
                     self.retired = true;
                 }
@@ -226,6 +282,7 @@
                 self.out.extend_from_slice(&hostline::probe(&tag.to_string(), load));
                 self.probes.insert(tag);
             }
+            LineWord::Look => {}
             LineWord::CloseIdle | LineWord::Retire => {
                 self.shared.spent.store(true, Ordering::Relaxed);
                 self.retired = true;
@@ -243,7 +300,7 @@
                 Ok(n) => done += n,
                 Err(what) if what.kind() == ErrorKind::WouldBlock => break Ok(done > 0),
                 Err(what) if what.kind() == ErrorKind::Interrupted => {}
-                Err(what) => break Err(what.to_string()),
+                Err(what) => break self.broken(what.to_string()).map(|_| false),
             }
         };
         self.out.drain(..done);
@@ -253,32 +310,63 @@
         result
     }
 
+    /// Guards against an answer that stops short while its connection stays open, and against a line that comes
+    /// in crumbs without end: nothing else would get through behind it.
+    fn standstill(&self) -> Option<&'static str> {
+        let (now, limit) = (self.wires.clock.now(), self.wires.connect_limit);
+        let line_here = self.buffer.filled().contains(&b'\n');
+        let since = if line_here { self.began.map(|_| self.heard) } else { self.began };
+        since.filter(|since| now.saturating_sub(*since) > limit).map(|_| "an answer that stands still")
+    }
+
+    /// The connection is gone. In the middle of an answer it was a live host's.
+    fn broken(&mut self, what: String) -> Result<bool, String> {
+        if self.began.is_none() {
+            self.outcome = Outcome::Broken;
+        }
+        Err(what)
+    }
+
     fn read(&mut self) -> Result<bool, String> {
         let Some(room) = self.buffer.room() else {
             return Err("an answer that fills the buffer".to_string());
         };
         match self.stream.inner().read(room) {
-            Ok(0) => return Err("end of stream".to_string()),
+            Ok(0) => return self.broken("end of stream".to_string()),
             Ok(n) => self.buffer.add(n),
             Err(what) if what.kind() == ErrorKind::WouldBlock => return Ok(false),
             Err(what) if what.kind() == ErrorKind::Interrupted => return Ok(true),
-            Err(what) => return Err(what.to_string()),
+            Err(what) => return self.broken(what.to_string()),
         }
         self.heard = self.wires.clock.now();
+        let was = std::mem::replace(&mut self.held, self.buffer.size());
+        let held = self.wires.held.fetch_add(self.held, Ordering::Relaxed) + self.held;
+        self.wires.held.fetch_sub(was, Ordering::Relaxed);
+        if self.held > was && held - was > self.wires.most_held {
+            return Err("no memory left for an answer".to_string());
+        }
         while let Some((length, answer)) = hostline::decode(self.buffer.filled())? {
             self.buffer.consume(length);
             let probe = matches!(answer.word, hostline::Word::Well | hostline::Word::Ill);
             let tag = answer.id.parse().ok().filter(|_| probe);
+            lock(&self.shared.unanswered).remove(&answer.id);
             if let Some(tag) = tag.filter(|tag| self.probes.remove(tag)) {
                 self.wires.module.send(Word::Probed { tag, answer });
-            } else if probe || !lock(&self.shared.unanswered).remove(&answer.id) {
-                return Err(format!("an answer under an unknown id {:?}", answer.id));
-            } else if let Some((key, _)) = self.legs.remove(&answer.id) {
+            } else if let Some(leg) = self.legs.get(&answer.id).filter(|_| !probe) {
+                if answer.word == hostline::Word::Unchanged && !leg.seen {
+                    return Err("unchanged, where no copy was named".to_string());
+                }
+                let key = self.legs.remove(&answer.id).expect("found above").key;
                 self.wires.module.send(Word::Answered { key, answer });
             } else {
-                debug!(host = self.name, id = answer.id, "answer to what is over");
+                // Framed well and nobody's: an answer to what is over, a second one, or one ahead. It costs
+                // nobody anything.
+                debug!(host = self.name, id = answer.id, "an answer that nobody waits for");
             }
         }
+        let midway = !self.buffer.filled().is_empty();
+        self.began = midway.then(|| self.began.unwrap_or(self.heard));
+        self.shared.midway.store(midway, Ordering::Relaxed);
         Ok(true)
     }
 }
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -1,6 +1,7 @@
-//! Takes in clients' connections, up to the cap; past it they wait unaccepted.
+//! Takes in clients' connections, up to the cap; past it they wait unaccepted till a query has its answer.
 
 use crate::client::{self, Door};
+use crate::host::Wires;
 use may::net::TcpListener;
 use may::sync::Semphore;
 use std::sync::atomic::Ordering;
@@ -12,19 +13,20 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// How often connections are looked through for such as have outlived their use.
-const LOOK: Duration = Duration::from_secs(1);
+const LOOK: Duration = Duration::from_millis(200);
 
-pub fn look(door: &Door) {
+pub fn look(door: &Door, wires: &Wires) {
     loop {
         may::coroutine::sleep(LOOK);
         door.look();
+        wires.look();
     }
 }
 
 pub fn run(listener: &TcpListener, door: &Arc<Door>, seats: &Arc<Semphore>) {
     loop {
         if !seats.try_wait() {
-            warn!("all seats for clients are taken; idle ones are closed sooner");
+            warn!("a query is open on every seat; connections end with their answers");
             door.crowded.store(true, Ordering::Relaxed);
             seats.wait();
             door.crowded.store(false, Ordering::Relaxed);
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -352,7 +352,8 @@
             freshen: filled && leg.renew,
             seen: open.ask.seen.as_deref(),
         };
-        let order = Order::Want { key, id: open.ask.call_id.clone(), line: line.encode() };
+        let (id, seen) = (open.ask.call_id.clone(), line.seen.is_some());
+        let order = Order::Want { key, id, line: line.encode(), seen };
         match mail {
             Some(mail) => mail.send(order),
             None => self.end_leg(key, Outcome::NotSent, None, Duration::ZERO),
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -64,6 +64,7 @@
         let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
         let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
         let ready = Arc::new(AtomicBool::new(false));
+        let held = Arc::new(AtomicUsize::new(0));
         let door = Arc::new(Door {
             clock,
             module: mail.clone(),
@@ -72,7 +73,9 @@
             closing: AtomicBool::new(false),
             crowded: AtomicBool::new(false),
             longest: longest.unwrap_or_default(),
+            held: held.clone(),
             clients: Mutex::new(BTreeMap::new()),
+            seats: caps.seats,
             next_client: AtomicU64::new(1),
             next_query: AtomicU64::new(1),
             open: AtomicUsize::new(0),
@@ -87,9 +90,13 @@
             idle_limit: told.wiring.idle_limit,
             most_streams: told.wiring.most_streams,
             line_out: caps.line_out,
-            lines: AtomicUsize::new(0),
+            lines: Mutex::new(BTreeMap::new()),
+            next_line: AtomicU64::new(1),
             most_lines: caps.hosts,
+            held,
+            most_held: caps.held,
         });
+        let looked = (door.clone(), wires.clone());
         let given = Given {
             clock,
             deployment: told.facts.deployment,
@@ -111,8 +118,8 @@
         spawn("module", BIG_STACK, move || module.run())?;
         spawn("list", BIG_STACK, move || list.run())?;
         spawn("board", BIG_STACK, move || board.run())?;
-        let (looked, seats) = (door.clone(), Arc::new(Semphore::new(caps.clients)));
-        spawn("look", STACK, move || listener::look(&looked))?;
+        let seats = Arc::new(Semphore::new(caps.clients));
+        spawn("look", STACK, move || listener::look(&looked.0, &looked.1))?;
         spawn("listener", STACK, move || listener::run(&listener, &door, &seats))?;
         service.enter(Phase::Serving);
         Ok(service)
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -7,7 +7,8 @@
 //!     a gets STATUS WORD...             one answer, holding all words
 //!     a pours N | a floods              sends so many bytes of no meaning; without end, beside what follows
 //!     a closes | a ended                the client leaves; the dispatcher has closed
-//!     c takes                           host c accepts a connection, which counts from then on
+//!     a within MS ...                   what follows, by then
+//!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
 //!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended
@@ -39,11 +40,10 @@
         self.stream = Some(BufReader::new(stream));
     }
 
-    fn takes(&mut self) {
+    fn accept(&mut self) -> TcpStream {
         let listener = self.listener.as_ref().expect("a listener");
         socket2::SockRef::from(listener).set_read_timeout(Some(PATIENCE)).unwrap();
-        let (stream, _) = listener.accept().expect("a connection in time");
-        self.connect(stream);
+        listener.accept().expect("a connection in time").0
     }
 
     fn send(&mut self, text: &str) {
@@ -162,7 +162,8 @@
             }
             ("board", "takes") => {
                 let board = self.party("board");
-                board.takes();
+                let stream = board.accept();
+                board.connect(stream);
                 let head = board.answer();
                 assert!(head.contains(&format!("Last-Event-ID: {}\r\n", rest[0])), "{head}");
                 board.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
@@ -184,7 +185,10 @@
                 let mut stream = self.client(name).stream().get_ref().try_clone().unwrap();
                 std::thread::spawn(move || while stream.write_all(&[b'x'; 65536]).is_ok() {});
             }
-            (_, "takes") => self.party(name).takes(),
+            (_, "takes") => {
+                let stream = self.party(name).accept();
+                self.party(rest.last().unwrap_or(&name)).connect(stream);
+            }
             (_, "gets") if rest[0].parse::<u16>().is_ok() => {
                 let answer = self.party(name).answer();
                 let status = format!("HTTP/1.1 {} ", rest[0]);
@@ -210,6 +214,11 @@
                 let body = value("body=").unwrap_or("");
                 party.send(&format!("{id} {} {} {}\r\n{body}\r\n", rest[0], rest[1], body.len()));
             }
+            (_, "within") => {
+                let wait = Some(Duration::from_millis(rest[0].parse().unwrap()));
+                self.party(name).stream().get_ref().set_read_timeout(wait).unwrap();
+                self.play(&format!("{name} {}", rest[1..].join(" ")));
+            }
             (_, "closes") => self.party(name).stream = None,
             (_, "ended") => self.party(name).ended(),
             _ => panic!("no such line: {line:?}"),
--- a/crates/rockflow-dispatcher/tests/told.rs
+++ b/crates/rockflow-dispatcher/tests/told.rs
@@ -48,7 +48,6 @@
     let mut told = example();
     told["limits"] = json!({"memory_mb": memory_mb, "sockets": sockets});
     let caps = Caps::of(&Told::read(&told.to_string()).unwrap().limits);
-    let (answer, memory) = (rockflow_protocol::hostline::MOST_ANSWER, memory_mb * 1024 * 1024);
-    assert!(caps.clients + caps.hosts < sockets);
-    assert!(caps.clients * rockflow_protocol::MOST_BODY + caps.hosts * (answer + caps.line_out) < memory);
+    assert!(caps.seats < caps.clients && caps.clients + caps.hosts < sockets);
+    assert!(caps.held + caps.hosts * caps.line_out < memory_mb * 1024 * 1024 / 2);
 }
--- a/crates/rockflow-protocol/src/buffer.rs
+++ b/crates/rockflow-protocol/src/buffer.rs
@@ -15,6 +15,11 @@
         Buffer { bytes: Vec::new(), start: 0, end: 0, most }
     }
 
+    /// The memory that it takes.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
     pub fn filled(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
     }
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -170,7 +170,10 @@
     TurnedAway,
     TimedOut,
     NotConnected,
+    /// The connection broke, and no other shows that the host lives.
     Broken,
+    /// What came can't be used or broke off, from a host that lives; the leg may have run.
+    Garbled,
     CalledOff,
     NotSent,
     Miss,
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -1,9 +1,8 @@
 //! All decisions of rockflow, with their tables and tuned values.
 //!
 //! A caller makes one `Dispatcher` from the told facts and a seed, hands each `Event` with its time to
-//! `Dispatcher::handle`, and carries out the `Action`s that come back, in order. The types on both sides are
-//! in `interface.rs`. An event updates what is known, then the wanted state of the queries it touches; `emit`
-//! alone turns the difference between wanted and present into actions.
+//! `Dispatcher::handle`, and carries out the `Action`s that come back, in order. An event updates what is
+//! known, then what is wanted; `emit` alone turns the difference to what is present into actions.
 
 use crate::interface::*;
 use std::collections::BTreeMap;
@@ -570,8 +569,7 @@
             let shallow = afresh && open.had(Aim::Look) == 0 && (link || cold);
             let look = shallow || afresh && depth && !deep && !cold;
             let full = self.link.shut(self.now, open.lot) || !look && self.depth.shut(self.now, open.lot);
-            // Exception: a crowded cache is asked only for what it holds. Fills that wait on a full link or a
-            // slow source would crowd the hits out; a miss comes back at once. Harm: misses are given up.
+            // Exception: a crowded cache is asked only for what it holds; fills would crowd the hits out.
             let bare = told.cacheable && (crowded || full && !shallow) || open.barren;
             match source.filter(|_| !bare) {
                 source if look && (shallow || !full) => {
@@ -733,7 +731,7 @@
         let (host, source) = (Some(plan.host), plan.source);
         // Good and bad to the host, good and bad to the source, and what this query leaves out.
         let (good, bad, source_good, source_bad, failed) = match (end.outcome, end.note) {
-            // Slow, and nothing tells where: both are marked, and what is its own shows beside its like.
+            // Slow, and nothing tells where: both are marked; what is its own shows beside its like.
             (Outcome::Succeeded, _) if slow => (0.5, 0.5, 0.5 * fill, 0.5 * behind, None),
             (Outcome::Succeeded, _) => (1.0, 0.0, fill, 0.0, None),
             (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source.filter(|_| fill_leg)),
@@ -745,6 +743,8 @@
                 (1.0, 0.0, 0.0, 1.0, source)
             }
             _ if shared => (0.0, 0.5, 0.0, 0.5, source),
+            // The same host may hold by now what was spoilt on its way: it is asked once more.
+            (Outcome::Garbled, _) => (0.0, 1.0, 0.0, 0.0, host.filter(|_| end.leg.0 > 0)),
             _ => (0.0, 1.0, 0.0, 0.0, host),
         };
         self.mark(plan.host, good, bad);
