SIGHUP has the configuration read again and the board asked at its new address

Now Service::reload moves the board's actor, which waits on its socket and its mailbox at once; what can't change while running is named in a warning, a file that can't be read leaves all as it was.

--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -1,6 +1,6 @@
 use clap::{Parser, Subcommand};
 use rockflow_dispatcher::{Service, Told};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Run a dispatcher until SIGTERM or SIGINT
+    /// Run a dispatcher until SIGTERM or SIGINT; SIGHUP has it read its configuration again
     Serve {
         #[command(flatten)]
         told: Source,
@@ -85,7 +85,7 @@
 
 fn serve(source: &Source, level: tracing::Level) -> Result<(), String> {
     // Before anything else: a stop that is asked for during the start is kept till the start is done.
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|what| format!("signals: {what}"))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|what| format!("signals: {what}"))?;
     // Written by a thread of its own, so that no coroutine waits for whoever reads the log.
     let log = NonBlockingBuilder::default().buffered_lines_limit(MOST_LOG_LINES);
     let (log, _guard) = log.finish(std::io::stderr());
@@ -93,7 +93,12 @@
     let told = source.read()?;
     Service::set_up();
     let mut service = Service::start(told).map_err(|what| format!("start: {what}"))?;
-    signals.forever().next();
+    for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
+        match source.read() {
+            Ok(told) => service.reload(&told),
+            Err(what) => tracing::error!(what, "configuration not taken; the old one stays in force"),
+        }
+    }
     service.stop();
     Ok(())
 }
--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -1,77 +1,132 @@
 //! The actor that reads the notice board and passes each notice on once, in order.
 
-use crate::mailbox::Mailbox;
+use crate::clock::Clock;
+use crate::mailbox::{Mailbox, Wake};
 use may::coroutine;
+use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow_protocol::board::{self, Notice, Stream};
 use rockflow_protocol::Buffer;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tracing::{info, warn};
 
-/// A comment comes each second: a board that says nothing for three has gone.
-const SILENCE: Duration = Duration::from_secs(3);
-const CONNECT: Duration = Duration::from_secs(1);
+/// A comment comes each second: a board that says nothing for more than two has gone.
+const SILENCE: Duration = Duration::from_millis(2300);
+const CONNECT: Duration = Duration::from_millis(500);
 /// The wait before the next call: from the first to the second, doubled with each failure, less by chance.
 const WAIT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
+pub enum BoardWord {
+    /// The board is at another address from now on; its numbers go on.
+    MoveTo(SocketAddr),
+    /// Look whether the board has fallen silent.
+    Look,
+}
+
 pub struct Board {
+    pub clock: Clock,
     pub address: SocketAddr,
     pub last: u64,
+    pub mail: Arc<Mailbox<BoardWord>>,
     pub list: Arc<Mailbox<Notice>>,
     pub chance: oorandom::Rand64,
+    /// What was asked for a second time: the number after a gap, and one that could not be read.
+    pub gap_borne: Option<u64>,
+    pub unread: Option<u64>,
 }
 
 impl Board {
     pub fn run(&mut self) {
         let mut wait = WAIT.0;
-        // A gap is asked for again once; what is missing after that is not to be had.
-        let mut gap_borne = None;
         loop {
-            let before = self.last;
-            let what = self.poll(&mut gap_borne).unwrap_or_else(|what| what);
-            wait = if self.last > before { WAIT.0 } else { (2 * wait).min(WAIT.1) };
+            let (before, at) = (self.last, self.address);
+            let what = self.poll().unwrap_or_else(|what| what);
             info!(what, last = self.last, "board connection over");
-            coroutine::sleep(wait.mul_f64(0.5 + 0.5 * self.chance.rand_float()));
+            wait = if self.last > before || self.address != at { WAIT.0 } else { (2 * wait).min(WAIT.1) };
+            let until = self.clock.now() + wait.mul_f64(0.5 + 0.5 * self.chance.rand_float());
+            self.mail.wake_by(Wake::Park(coroutine::current()));
+            while self.clock.now() < until && !self.moved() {
+                coroutine::park_timeout(WAIT.0);
+            }
         }
     }
 
-    fn poll(&mut self, gap_borne: &mut Option<u64>) -> Result<String, String> {
+    /// Reads the mail; whether the board has another address now.
+    fn moved(&mut self) -> bool {
+        let at = self.address;
+        while let Some(word) = self.mail.take() {
+            if let BoardWord::MoveTo(address) = word {
+                self.address = address;
+            }
+        }
+        self.address != at
+    }
+
+    fn poll(&mut self) -> Result<String, String> {
         let fault = |what: std::io::Error| what.to_string();
         let mut stream = TcpStream::connect_timeout(&self.address, CONNECT).map_err(fault)?;
-        stream.set_read_timeout(Some(SILENCE)).map_err(fault)?;
         stream.set_write_timeout(Some(SILENCE)).map_err(fault)?;
         stream.write_all(&board::call(&self.address.to_string(), self.last)).map_err(fault)?;
-        let (mut buffer, mut notices, mut sent) =
-            (Buffer::new(board::MOST_EVENT), Vec::new(), Stream::default());
+        self.mail.wake_by(Wake::Io(stream.waker()));
+        let (mut buffer, mut sent) = (Buffer::new(board::MOST_EVENT), Stream::default());
+        let mut heard = self.clock.now();
         loop {
-            let room = buffer.room().ok_or("a head or chunk size without end")?;
-            let n = stream.read(room).map_err(fault)?;
-            if n == 0 {
-                return Ok("ended".to_string());
+            if self.moved() {
+                return Ok("moved".to_string());
             }
-            buffer.add(n);
-            // What came whole ahead of a fault still counts.
-            let taken = sent.take(buffer.filled(), &mut notices);
-            for notice in notices.drain(..) {
-                let (rev, next) = (notice.rev, self.last + 1);
-                if rev < next {
-                    continue;
-                }
-                let whole = notice.pool.as_ref().is_some_and(|pool| pool.reset);
-                if rev > next && !whole && *gap_borne != Some(next) {
-                    *gap_borne = Some(next);
-                    return Err(format!("notices {next} to {} are missing", rev - 1));
+            let room = buffer.room().ok_or("a head or chunk size without end")?;
+            match stream.inner().read(room) {
+                Ok(0) => return Ok("ended".to_string()),
+                Ok(n) => {
+                    heard = self.clock.now();
+                    buffer.add(n);
+                    let taken = self.take(&mut sent, buffer.filled())?;
+                    buffer.consume(taken);
                 }
-                if rev > next {
-                    warn!(from = next, to = rev - 1, "notices lost");
+                Err(what) if what.kind() == ErrorKind::WouldBlock => {
+                    if self.clock.now().saturating_sub(heard) > SILENCE {
+                        return Err("silent".to_string());
+                    }
+                    stream.wait_io();
                 }
-                self.last = rev;
-                self.list.send(notice);
+                Err(what) if what.kind() == ErrorKind::Interrupted => {}
+                Err(what) => return Err(fault(what)),
+            }
+        }
+    }
+
+    /// Passes on what came whole, also ahead of a fault.
+    fn take(&mut self, sent: &mut Stream, bytes: &[u8]) -> Result<usize, String> {
+        let mut notices = Vec::new();
+        let taken = sent.take(bytes, &mut notices);
+        for notice in notices {
+            let (rev, next) = (notice.rev, self.last + 1);
+            if rev < next {
+                continue;
+            }
+            let whole = notice.pool.as_ref().is_some_and(|pool| pool.reset);
+            if rev > next && !whole && self.gap_borne != Some(next) {
+                // Asked for again once; what is missing after that is not to be had.
+                self.gap_borne = Some(next);
+                return Err(format!("notices {next} to {} are missing", rev - 1));
+            }
+            if rev > next {
+                warn!(from = next, to = rev - 1, "notices lost");
+            }
+            self.last = rev;
+            self.list.send(notice);
+        }
+        if sent.unreadable() {
+            let next = self.last + 1;
+            // Guards against asking for one that can't be read without end.
+            if self.unread.replace(next) == Some(next) {
+                warn!(from = next, to = next, "notices lost");
+                self.last = next;
             }
-            buffer.consume(taken?);
         }
+        taken
     }
 }
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -1,7 +1,9 @@
 //! Takes in clients' connections, up to the cap; past it they wait unaccepted till a query has its answer.
 
+use crate::board::BoardWord;
 use crate::client::{self, Door};
 use crate::host::Wires;
+use crate::mailbox::Mailbox;
 use may::net::TcpListener;
 use may::sync::Semphore;
 use std::sync::atomic::Ordering;
@@ -15,11 +17,12 @@
 /// How often connections are looked through for such as have outlived their use.
 const LOOK: Duration = Duration::from_millis(200);
 
-pub fn look(door: &Door, wires: &Wires) {
+pub fn look(door: &Door, wires: &Wires, board: &Mailbox<BoardWord>) {
     loop {
         may::coroutine::sleep(LOOK);
         door.look();
         wires.look();
+        board.send(BoardWord::Look);
     }
 }
 
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -1,6 +1,6 @@
 //! The program from start to exit: its phases as named states of one object.
 
-use crate::board::Board;
+use crate::board::{Board, BoardWord};
 use crate::caps::Caps;
 use crate::client::Door;
 use crate::clock::Clock;
@@ -9,7 +9,7 @@
 use crate::listener;
 use crate::mailbox::Mailbox;
 use crate::module::{Given, Module, Word};
-use crate::told::Told;
+use crate::told::{Told, Unchanging};
 use may::coroutine::{self, Builder};
 use may::net::TcpListener;
 use may::sync::Semphore;
@@ -19,7 +19,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 /// In words of eight bytes: a connection's actor, and one that parses JSON.
 const STACK: usize = 0x2000;
@@ -51,6 +51,9 @@
     phase: Phase,
     listens_at: SocketAddr,
     door: Arc<Door>,
+    board: Arc<Mailbox<BoardWord>>,
+    told: Unchanging,
+    board_at: SocketAddr,
 }
 
 impl Service {
@@ -61,6 +64,7 @@
 
     pub fn start(told: Told) -> std::io::Result<Service> {
         let (clock, caps) = (Clock::start(), Caps::of(&told.limits));
+        let unchanging = told.unchanging.clone();
         let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
         let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
         let ready = Arc::new(AtomicBool::new(false));
@@ -111,15 +115,32 @@
         let mut module = Module::new(given, known, purges);
         let list = List { reading, mail: list_mail.clone(), module: mail };
         let chance = oorandom::Rand64::new(u128::from(told.seed));
-        let mut board = Board { address: told.board, last: told.known.rev, list: list_mail, chance };
+        let board_mail = Mailbox::new();
+        let mut board = Board {
+            clock,
+            address: told.board,
+            last: told.known.rev,
+            mail: board_mail.clone(),
+            list: list_mail,
+            chance,
+            gap_borne: None,
+            unread: None,
+        };
         let listener = TcpListener::bind(told.listen)?;
         let listens_at = listener.local_addr()?;
-        let mut service = Service { phase: Phase::Starting, listens_at, door: door.clone() };
+        let mut service = Service {
+            phase: Phase::Starting,
+            listens_at,
+            door: door.clone(),
+            board: board_mail.clone(),
+            told: unchanging,
+            board_at: told.board,
+        };
         spawn("module", BIG_STACK, move || module.run())?;
         spawn("list", BIG_STACK, move || list.run())?;
         spawn("board", BIG_STACK, move || board.run())?;
         let seats = Arc::new(Semphore::new(caps.clients));
-        spawn("look", STACK, move || listener::look(&looked.0, &looked.1))?;
+        spawn("look", STACK, move || listener::look(&looked.0, &looked.1, &board_mail))?;
         spawn("listener", STACK, move || listener::run(&listener, &door, &seats))?;
         service.enter(Phase::Serving);
         Ok(service)
@@ -138,6 +159,19 @@
         self.phase = phase;
     }
 
+    /// Takes a new configuration under load: the board at its new address is asked at once from the last
+    /// number. What can't change while the program runs stays as it was, and is named.
+    pub fn reload(&mut self, told: &Told) {
+        let before = self.told.iter().zip(told.unchanging.iter());
+        let keys: Vec<_> = before.filter(|(old, new)| old != new).map(|((key, _), _)| key.as_str()).collect();
+        if !keys.is_empty() {
+            warn!(?keys, "changed in the configuration; takes a restart");
+        }
+        info!(phase = ?self.phase, from = %self.board_at, to = %told.board, "configuration read again");
+        self.board_at = told.board;
+        self.board.send_urgent(BoardWord::MoveTo(told.board));
+    }
+
     /// A planned stop, to its end; blocks the calling thread.
     pub fn stop(&mut self) {
         self.enter(Phase::Leaving);
--- a/crates/rockflow-dispatcher/src/told.rs
+++ b/crates/rockflow-dispatcher/src/told.rs
@@ -3,6 +3,7 @@
 use rockflow_facts::{facts, wiring, Facts, Pairs, Wiring};
 use rockflow_protocol::board::Known;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -11,6 +12,10 @@
     pub sockets: usize,
 }
 
+/// What a running dispatcher keeps to, by key.
+pub type Unchanging = BTreeMap<String, Value>;
+const UNCHANGING: [&str; 4] = ["name", "listen", "limits", "settings"];
+
 pub struct Told {
     pub name: String,
     pub listen: SocketAddr,
@@ -20,6 +25,7 @@
     pub known: Known,
     pub facts: Facts,
     pub wiring: Wiring,
+    pub unchanging: Unchanging,
 }
 
 impl Told {
@@ -48,6 +54,10 @@
             known: serde_json::from_value(key("known")?.clone()).map_err(|what| format!("known: {what}"))?,
             facts: facts::parse(&pairs)?,
             wiring: wiring::parse(&pairs)?,
+            unchanging: UNCHANGING
+                .iter()
+                .map(|name| Ok((name.to_string(), key(name)?.clone())))
+                .collect::<Result<_, String>>()?,
         })
     }
 }
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -12,7 +12,8 @@
 //!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended
-//!     board takes LAST | board says JSON | board closes
+//!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board
+//!     reload board2                     a configuration that names another board
 //!     stop | over                       a planned stop begins; it has come to its end
 
 use rockflow_dispatcher::{Phase, Service, Told};
@@ -110,17 +111,21 @@
             "lifecycle": "active", "weight": 8, "startedAtMs": 0}));
     }
 
-    fn start(&mut self, words: &[&str]) {
+    fn told(&mut self, board: &str, words: &[&str]) -> Told {
         let mut value: Value = serde_json::from_str(include_str!("../../../deploy/example.json")).unwrap();
-        let board = TcpListener::bind("127.0.0.1:0").unwrap();
-        value["board"] = json!(board.local_addr().unwrap().to_string());
-        self.party("board").listener = Some(board);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        value["board"] = json!(listener.local_addr().unwrap().to_string());
+        self.party(board).listener = Some(listener);
         value["listen"] = json!("127.0.0.1:0");
         value["known"]["notices"][0]["pool"]["instances"] = json!(self.instances);
         if let Some(sockets) = words.iter().find_map(|word| word.strip_prefix("sockets=")) {
             value["limits"]["sockets"] = json!(sockets.parse::<usize>().unwrap());
         }
-        let mut told = Told::read(&value.to_string()).unwrap();
+        Told::read(&value.to_string()).unwrap()
+    }
+
+    fn start(&mut self, words: &[&str]) {
+        let mut told = self.told("board", words);
         if words.contains(&"unknown-product") {
             told.wiring.products.push("unknown".to_string());
         }
@@ -160,15 +165,19 @@
                 let service = self.stopping.take().unwrap().join().unwrap();
                 assert_eq!(service.phase(), Phase::Over);
             }
-            ("board", "takes") => {
-                let board = self.party("board");
+            ("reload", board) => {
+                let told = self.told(board, &[]);
+                self.service.as_mut().unwrap().reload(&told);
+            }
+            ("board" | "board2", "takes") => {
+                let board = self.party(name);
                 let stream = board.accept();
                 board.connect(stream);
                 let head = board.answer();
                 assert!(head.contains(&format!("Last-Event-ID: {}\r\n", rest[0])), "{head}");
                 board.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
             }
-            ("board", "says") => self.party("board").send(&format!("data: {}\n\n", raw())),
+            ("board" | "board2", "says") => self.party(name).send(&format!("data: {}\n\n", raw())),
             (_, "asks") => {
                 let headers = rest.iter().filter_map(|word| word.split_once(':'));
                 let headers: String = headers.map(|(key, value)| format!("{key}: {value}\r\n")).collect();
@@ -234,6 +243,7 @@
 #[test_case(include_str!("scenarios/late-list.txt"); "late list")]
 #[test_case(include_str!("scenarios/crowd.txt"); "crowd")]
 #[test_case(include_str!("scenarios/silent-board.txt"); "silent board")]
+#[test_case(include_str!("scenarios/reload.txt"); "reload")]
 #[test_case(include_str!("scenarios/panic.txt"); "panic")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
--- a/crates/rockflow-protocol/src/board.rs
+++ b/crates/rockflow-protocol/src/board.rs
@@ -79,15 +79,21 @@
     stage: Stage,
     line: Vec<u8>,
     data: String,
+    unreadable: bool,
 }
 
 impl Default for Stream {
     fn default() -> Self {
-        Stream { stage: Stage::Head, line: Vec::new(), data: String::new() }
+        Stream { stage: Stage::Head, line: Vec::new(), data: String::new(), unreadable: false }
     }
 }
 
 impl Stream {
+    /// An event came whole and could not be read.
+    pub fn unreadable(&self) -> bool {
+        self.unreadable
+    }
+
     /// Takes what it can of the bytes, says how many, and adds the notices that are whole.
     pub fn take(&mut self, bytes: &[u8], notices: &mut Vec<Notice>) -> Result<usize, String> {
         let mut at = 0;
@@ -158,7 +164,9 @@
                 self.data += data.strip_prefix(' ').unwrap_or(data);
             } else if line.is_empty() && !self.data.is_empty() {
                 let data = std::mem::take(&mut self.data);
-                notices.push(serde_json::from_str(&data).map_err(|what| format!("event: {what}"))?);
+                let notice = serde_json::from_str(&data);
+                self.unreadable = notice.is_err();
+                notices.push(notice.map_err(|what| format!("event: {what}"))?);
             }
         }
         Ok(())
