--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -13,7 +13,7 @@
 use rockflow_protocol::front::{Answer, Ask};
 use rockflow_protocol::hostline::{self, Want};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -120,6 +120,8 @@
     /// The purges that still bind, for decisions that start anew.
     purges: Vec<Flush>,
     open: BTreeMap<QueryId, Open>,
+    /// The ids under which clients wait.
+    calls: BTreeSet<String>,
     peers: BTreeMap<HostId, Peer>,
     due: BinaryHeap<Reverse<(Duration, Due)>>,
     events: VecDeque<Event>,
@@ -136,6 +138,7 @@
             next_probe: 0,
             purges: Vec::new(),
             open: BTreeMap::new(),
+            calls: BTreeSet::new(),
             peers: BTreeMap::new(),
             due: BinaryHeap::new(),
             events: VecDeque::new(),
@@ -183,6 +186,7 @@
     fn begin_anew(&mut self) {
         error!(open = self.open.len(), "the module panicked; its queries are terminated and it starts anew");
         self.events.clear();
+        self.calls.clear();
         for open in std::mem::take(&mut self.open) {
             let (id, open) = open;
             for (no, leg) in open.legs.iter().enumerate().filter(|(_, leg)| leg.out) {
@@ -210,7 +214,9 @@
             Word::Asked { query, ask, client, arrived } => self.ask(query, ask, client, arrived),
             Word::Left(query) => {
                 if let Some(open) = self.open.get_mut(&query) {
-                    open.answered = true;
+                    if !std::mem::replace(&mut open.answered, true) {
+                        self.calls.remove(&open.ask.call_id);
+                    }
                     self.events.push_back(Event::ClientLeft(query));
                     self.forget(query);
                 }
@@ -239,6 +245,10 @@
         let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
             return client.send(ClientWord::Answer(id, Answer::Wrong(404, "unknown class")));
         };
+        // Guards against two queries under one id, whose answers could not be told apart on their way.
+        if !self.calls.insert(ask.call_id.clone()) {
+            return client.send(ClientWord::Answer(id, Answer::Wrong(409, "id in use")));
+        }
         // No client waits longer than its product's outer limit, whatever its header says.
         let most = self.given.deployment.products.get(product).map(|product| product.outer_limit);
         let patience = most.map_or(ask.patience, |most| ask.patience.min(most));
@@ -425,6 +435,7 @@
     fn answer(&mut self, id: QueryId, answer: Answer) {
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
+        self.calls.remove(&open.ask.call_id);
         open.client.send(ClientWord::Answer(id, answer));
         self.forget(id);
     }
--- a/crates/rockflow-protocol/src/front.rs
+++ b/crates/rockflow-protocol/src/front.rs
@@ -6,8 +6,11 @@
 pub const MOST_HEAD: usize = 8192;
 const MOST_HEADERS: usize = 64;
 const MOST_TOKEN: usize = 128;
-/// No client waits longer than this; a longer wait is not believed.
-const MOST_PATIENCE: Duration = Duration::from_secs(3600);
+/// Figures past these are out of range: an hour's wait, a part of 4 GB.
+const MOST_PATIENCE_MS: f64 = 3_600_000.0;
+const MOST_SIZE_KB: f64 = 4_000_000.0;
+const MOST_PART: f64 = 1_000_000.0;
+const MOST_GROUP: f64 = 255.0;
 
 /// A query as the client worded it.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,13 +56,15 @@
         Err(_) => return wrong(400, "malformed head"),
     };
     let fields = Fields(parsed.headers);
-    let body =
-        fields.has("transfer-encoding") || fields.text("content-length").is_some_and(|n| n.trim() != "0");
-    if body {
+    // Each length counts, however it is written: what is taken for no body here may hide a request.
+    let lengths = fields.named("content-length");
+    if fields.named("transfer-encoding").next().is_some()
+        || lengths.map(<[u8]>::trim_ascii).any(|n| n != b"0")
+    {
         // What follows can't be told from the next request.
         return wrong(413, "a body where none belongs");
     }
-    let asked = fields.text("connection").unwrap_or("").to_ascii_lowercase();
+    let asked = fields.one("connection").ok().flatten().unwrap_or("").to_ascii_lowercase();
     let named = |word: &str| asked.split(',').any(|token| token.trim() == word);
     let keep = if parsed.version == Some(1) { !named("close") } else { named("keep-alive") };
     let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
@@ -71,16 +76,28 @@
 struct Fields<'a>(&'a [httparse::Header<'a>]);
 
 impl<'a> Fields<'a> {
-    fn has(&self, name: &str) -> bool {
-        self.0.iter().any(|header| header.name.eq_ignore_ascii_case(name))
+    fn named<'s>(&'s self, name: &'s str) -> impl Iterator<Item = &'a [u8]> + 's {
+        self.0.iter().filter(|header| header.name.eq_ignore_ascii_case(name)).map(|header| header.value)
     }
 
-    fn text(&self, name: &str) -> Option<&'a str> {
-        let header = self.0.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(header.value).ok().map(str::trim)
+    /// A field that may be there once; said twice it says nothing that can be relied on.
+    fn one(&self, name: &str) -> Result<Option<&'a str>, ()> {
+        let mut named = self.named(name);
+        match (named.next(), named.next()) {
+            (None, _) => Ok(None),
+            (Some(value), None) => std::str::from_utf8(value).map(|text| Some(text.trim())).map_err(|_| ()),
+            _ => Err(()),
+        }
     }
 }
 
+/// A number in digits, with a point or without; what else `parse` would take is no figure of the protocol.
+fn decimal(text: &str, most: f64) -> Option<f64> {
+    let plain = text.starts_with(|first: char| first.is_ascii_digit())
+        && text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|n| plain && *n <= most)
+}
+
 /// A word that can stand on a host's line.
 fn token(text: &str) -> Option<String> {
     let fits = |byte: u8| byte.is_ascii_graphic() && !b",=\"%;&?".contains(&byte);
@@ -97,24 +114,31 @@
         return Err((405, "unknown method"));
     }
     let Some((product, object)) = names else { return Ok(Request::Health) };
-    let number = |text: &str| text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
-    let part = arguments.split('&').find_map(|argument| argument.strip_prefix("part="));
-    let call_id =
-        fields.text("x-call-id").filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
-    let patience = fields.text("x-patience-ms").and_then(number).ok_or((400, "X-Patience-Ms"))?;
-    let size_kb = fields.text("x-heap-kb").map_or(Some(0.0), number).ok_or((400, "X-Heap-Kb"))?;
-    let group = fields.text("x-group").and_then(|group| group.parse::<u64>().ok());
+    let part = match arguments.strip_prefix("part=") {
+        _ if arguments.is_empty() => Some(0.0),
+        part => part.and_then(|part| decimal(part, MOST_PART)).filter(|part| part.fract() == 0.0),
+    };
+    let call_id = fields.one("x-call-id").ok().flatten();
+    let call_id = call_id.filter(|id| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit()));
+    let figure = |name: &'static str, most: f64| {
+        let text = fields.one(name).map_err(|_| (400, name))?;
+        text.map(|text| decimal(text, most).ok_or((400, name))).transpose()
+    };
+    let patience = figure("X-Patience-Ms", MOST_PATIENCE_MS)?.ok_or((400, "X-Patience-Ms"))?;
+    let size_kb = figure("X-Heap-Kb", MOST_SIZE_KB)?.unwrap_or(0.0);
+    let group = figure("X-Group", MOST_GROUP)?.filter(|group| group.fract() == 0.0);
+    let seen = fields.one("if-none-match").map_err(|_| (400, "If-None-Match"))?;
     let tag = |text: &str| text.trim_start_matches("W/").strip_prefix('"')?.strip_suffix('"').and_then(token);
     Ok(Request::Ask(Box::new(Ask {
         call_id: call_id.ok_or((400, "X-Call-Id"))?.to_string(),
         product: token(product).ok_or((400, "class"))?,
         object: token(object).filter(|object| !object.contains('/')).ok_or((400, "object"))?,
-        part: part.map_or(Ok(0), str::parse).map_err(|_| (400, "part"))?,
-        group: group.filter(|group| *group <= 255).ok_or((400, "X-Group"))?,
-        patience: Duration::try_from_secs_f64(patience / 1e3).unwrap_or(MOST_PATIENCE).min(MOST_PATIENCE),
+        part: part.ok_or((400, "part"))? as u32,
+        group: group.ok_or((400, "X-Group"))? as u64,
+        patience: Duration::from_secs_f64(patience / 1e3),
         size_kb,
         // A tag that can't be passed on is as good as none.
-        seen: fields.text("if-none-match").and_then(tag),
+        seen: seen.and_then(tag),
     })))
 }
 
--- a/crates/rockflow-protocol/src/hostline.rs
+++ b/crates/rockflow-protocol/src/hostline.rs
@@ -148,7 +148,8 @@
         return Err(format!("not four words: {line:?}"));
     };
     let word = find(&WORDS, word).ok_or_else(|| format!("unknown word {word:?}"))?;
-    let length: usize = length.parse().map_err(|_| format!("length {length:?}"))?;
+    let digits = !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit());
+    let length: usize = length.parse().ok().filter(|_| digits).ok_or_else(|| format!("length {length:?}"))?;
     if length > MOST_BODY {
         return Err(format!("a body of {length} bytes"));
     }
@@ -171,13 +172,16 @@
         let (name, value) = field.split_once('=').ok_or_else(|| format!("field {field:?}"))?;
         let bad = || format!("field {field:?}");
         match name {
-            "note" => answer.note = find(&NOTES, value),
+            "note" => answer.note = Some(find(&NOTES, value).ok_or_else(bad)?),
             "waited" => {
                 let millis = value.parse::<f64>().map_err(|_| bad())?;
                 answer.waited = Duration::try_from_secs_f64(millis / 1e3).map_err(|_| bad())?;
             }
             "ver" => answer.tag = value.to_string(),
-            "born" => answer.born = Some(value.parse::<f64>().map_err(|_| bad())? as u64),
+            "born" => {
+                answer.born =
+                    Some(value.parse::<f64>().ok().filter(|born| *born >= 0.0).ok_or_else(bad)? as u64)
+            }
             "load" => {
                 for value in value.split(';') {
                     let (name, value) = value.split_once(':').ok_or_else(bad)?;
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -461,7 +461,7 @@
     fn asked(&mut self, query: Query) {
         let (now, product) = (self.now, query.product);
         let sized = query.size_kb > 0.0 && self.told.stream_kb_per_s > 0.0;
-        let told_work = query.size_kb / self.told.stream_kb_per_s;
+        let told_work = (query.size_kb / self.told.stream_kb_per_s).min(self.health.memory);
         let (work, usual) = if sized { (told_work, told_work) } else { self.sending(product) };
         if sized {
             self.learn_sending(product, work);
