A reset is no restart where the host lives; small fills go to crowded caches

Now the host's actor looks whether another connection, old or new, is up a few ms later: then the leg is told as Garbled or NotSent, and the module asks the same host once more. Now the load up to which a cache fills follows from the query: half its due time for the fill, as the bound on hits already did (pick_cache).

--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -38,15 +38,21 @@
     CloseIdle,
     /// The host is gone: what is out may end, nothing new comes.
     Retire,
-    /// A line ended, with what was out on it and why.
-    LineOver {
-        legs: Vec<LegKey>,
-        outcome: Outcome,
-    },
+    /// A line ended, with what was given to it.
+    LineOver(Vec<Fallen>),
+}
+
+/// Legs that ended with their line: what that means if the host is gone, and if it lives.
+#[derive(Clone, Debug)]
+pub struct Fallen {
+    pub legs: Vec<LegKey>,
+    pub if_gone: Outcome,
+    pub if_it_lives: Outcome,
 }
 
-/// How long after a connection broke its host's others are looked at: a process that dies resets them all.
+/// How long after a connection broke its host's others are looked at, and how often while none is up.
 const OTHERS_FOLLOW: Duration = Duration::from_millis(4);
+const LOOKS: usize = 25;
 /// Part of the cap on connections up to which a leg gets one to itself.
 const OWN_PART: f64 = 0.75;
 
@@ -119,25 +125,40 @@
                     retired = true;
                     lines.iter().for_each(|line| line.send(LineWord::Retire));
                 }
-                Order::LineOver { legs, outcome } if !legs.is_empty() => self.fall(legs, outcome, &lines),
-                Order::LineOver { .. } => {}
+                Order::LineOver(fallen) => {
+                    fallen.into_iter().for_each(|fallen| self.fall(fallen, &mut lines))
+                }
             }
         }
     }
 
     /// Tells of legs that ended with their line. Guards against taking a reset of one connection for the death
-    /// of the process, which resets all: one that was up before and still is shows that the host lives.
-    fn fall(&self, legs: Vec<LegKey>, outcome: Outcome, lines: &[Arc<Line>]) {
-        let (module, others) = (self.wires.module.clone(), lines.to_vec());
+    /// of the process, which resets all and takes no new one for a while: a connection that is up by then, old
+    /// or new, shows that the host lives.
+    fn fall(&self, fallen: Fallen, lines: &mut Vec<Arc<Line>>) {
+        let Fallen { legs, if_gone, if_it_lives } = fallen;
+        if legs.is_empty() {
+            return;
+        }
+        let module = self.wires.module.clone();
+        let tell = move |outcome| legs.into_iter().for_each(|key| module.send(Word::Fell { key, outcome }));
+        if if_it_lives == if_gone {
+            return tell(if_gone);
+        }
+        if !lines.iter().any(|line| line.is_up()) {
+            self.open(lines);
+        }
+        let others = lines.to_vec();
         may::go!(move || {
-            let mut outcome = outcome;
-            if outcome == Outcome::Broken && others.iter().any(|line| line.is_up()) {
+            let mut lives = false;
+            for _ in 0..LOOKS {
                 coroutine::sleep(OTHERS_FOLLOW);
-                if others.iter().any(|line| line.is_up()) {
-                    outcome = Outcome::Garbled;
+                lives = others.iter().any(|line| line.is_up());
+                if lives || others.iter().all(|line| line.is_over()) {
+                    break;
                 }
             }
-            legs.into_iter().for_each(|key| module.send(Word::Fell { key, outcome }));
+            tell(if lives { if_it_lives } else { if_gone });
         });
     }
 
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,6 +1,6 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
-use crate::host::{LegKey, Order, Wires};
+use crate::host::{Fallen, LegKey, Order, Wires};
 use crate::mailbox::{Mailbox, Wake};
 use crate::module::Word;
 use may::io::WaitIo;
@@ -78,9 +78,9 @@
         wires.lines().insert(number, line.clone());
         let shared = line.clone();
         may::go!(move || {
-            let (legs, outcome) = run(&name, address, &wires, &shared);
+            let fallen = run(&name, address, &wires, &shared);
             wires.lines().remove(&number);
-            host.send(Order::LineOver { legs, outcome });
+            host.send(Order::LineOver(fallen));
         });
         line
     }
@@ -131,9 +131,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns the legs that may have run, and what is known of why they ended.
-fn run(name: &str, address: SocketAddr, wires: &Wires, shared: &Line) -> (Vec<LegKey>, Outcome) {
-    let mut fallen = (Vec::new(), Outcome::Broken);
+/// Returns the legs that ended with the line: those that may have run, and those that never did.
+fn run(name: &str, address: SocketAddr, wires: &Wires, shared: &Line) -> Vec<Fallen> {
+    let mut fallen = Vec::new();
+    let mut unsent =
+        Fallen { legs: Vec::new(), if_gone: Outcome::NotConnected, if_it_lives: Outcome::NotSent };
     match TcpStream::connect_timeout(&address, wires.connect_limit) {
         Ok(stream) => {
             debug!(host = name, "connected");
@@ -160,7 +162,11 @@
             }
             shared.over.store(true, Ordering::Relaxed);
             wires.held.fetch_sub(wire.held, Ordering::Relaxed);
-            fallen = (wire.legs.into_values().map(|leg| leg.key).collect(), wire.outcome);
+            fallen.push(Fallen {
+                legs: wire.legs.into_values().map(|leg| leg.key).collect(),
+                if_gone: wire.outcome,
+                if_it_lives: Outcome::Garbled,
+            });
             for tag in wire.probes {
                 wires.module.send(Word::ProbeFell { tag, outcome: Outcome::Broken });
             }
@@ -168,17 +174,22 @@
         Err(what) => {
             info!(host = name, %what, "not connected");
             shared.over.store(true, Ordering::Relaxed);
+            // Guards against taking for alive a machine that vanished: it lets its old connections stand.
+            if what.kind() == ErrorKind::TimedOut {
+                unsent.if_it_lives = unsent.if_gone;
+            }
         }
     }
-    // None of these was ever written, so none of them ran.
-    let outcome = Outcome::NotConnected;
     while let Some(word) = shared.mail.take() {
         match word {
-            LineWord::Want { key, .. } => wires.module.send(Word::Fell { key, outcome }),
-            LineWord::Probe { tag, .. } => wires.module.send(Word::ProbeFell { tag, outcome }),
+            LineWord::Want { key, .. } => unsent.legs.push(key),
+            LineWord::Probe { tag, .. } => {
+                wires.module.send(Word::ProbeFell { tag, outcome: unsent.if_gone });
+            }
             _ => {}
         }
     }
+    fallen.push(unsent);
     fallen
 }
 
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -11,7 +11,7 @@
 //!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
 //!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
-//!     c sends TEXT | c closes | c ended
+//!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
 //!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board
 //!     reload board2                     a configuration that names another board
 //!     stop | over                       a planned stop begins; it has come to its end
@@ -228,6 +228,7 @@
                 self.party(name).stream().get_ref().set_read_timeout(wait).unwrap();
                 self.play(&format!("{name} {}", rest[1..].join(" ")));
             }
+            (_, "dies") => (self.party(name).listener, self.party(name).stream) = (None, None),
             (_, "closes") => self.party(name).stream = None,
             (_, "ended") => self.party(name).ended(),
             _ => panic!("no such line: {line:?}"),
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -405,9 +405,8 @@
             && (host.out as f64) < cap + FRESH_GAIN * host.answers_since_start
     }
 
-    /// In flight over what the link carries at present, the leg to come included; seats taken as alike. Each
-    /// of several sees a part: what chance may have added to it is taken off, and what the others send shows
-    /// in how much longer than their sending time hits take.
+    /// In flight over what the link carries at present, the leg to come included; seats taken as alike. What
+    /// chance may have added is taken off; what the others send shows in how long hits take.
     fn load(&self, id: HostId) -> f64 {
         let host = &self.hosts[&id];
         let others = 1.0 - 1.0 / self.told.seats.max(1) as f64;
@@ -637,8 +636,8 @@
         // A sending time learned from answers grows with crowding: half the due time for an untold size.
         let due = told.due.as_secs_f64();
         let work = if query.size_kb > 0.0 { open.work } else { due * LEG_FIXED };
-        let most = CROWD_PART * (told.stretch + due / work.max(1e-3));
-        first.filter(|id| self.load(*id) <= most).map(|id| (id, true))
+        let most = |part: f64| CROWD_PART * (told.stretch + part * due / work.max(1e-3));
+        first.filter(|id| self.load(*id) <= most(1.0)).map(|id| (id, self.load(id) > most(LEG_FIXED)))
     }
 
     fn seen(&self, query: &Query) -> f64 {
@@ -736,15 +735,16 @@
             (Outcome::Succeeded, _) => (1.0, 0.0, fill, 0.0, None),
             (Outcome::Miss, _) => (1.0, 0.0, 0.0, 0.0, source.filter(|_| fill_leg)),
             (Outcome::CalledOff, _) => (0.0, 0.0, 0.0, 0.0, None),
-            (Outcome::NotSent, _) | (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
+            // A connection's fault: the same host, which may hold by now what was spoilt, is asked once more.
+            (Outcome::NotSent, _) => (0.0, 0.0, 0.0, 0.0, host.filter(|_| end.leg.0 > 0)),
+            (Outcome::Garbled, _) => (0.0, 1.0, 0.0, 0.0, host.filter(|_| end.leg.0 > 0)),
+            (_, Note::NoPlace) => (0.0, 0.0, 0.0, 0.0, host),
             // The parent is not at fault, and another would ask the same origin.
             (_, Note::OriginFailed) => (1.0, 0.0, 0.0, 0.0, None),
             (_, Note::SourceRefused | Note::SourceUnreached | Note::SourceLacks) => {
                 (1.0, 0.0, 0.0, 1.0, source)
             }
             _ if shared => (0.0, 0.5, 0.0, 0.5, source),
-            // The same host may hold by now what was spoilt on its way: it is asked once more.
-            (Outcome::Garbled, _) => (0.0, 1.0, 0.0, 0.0, host.filter(|_| end.leg.0 > 0)),
             _ => (0.0, 1.0, 0.0, 0.0, host),
         };
         self.mark(plan.host, good, bad);
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -110,13 +110,14 @@
     }
 }
 
-const OUTCOMES: [(&str, Outcome); 9] = [
+const OUTCOMES: [(&str, Outcome); 10] = [
     ("ok", Outcome::Succeeded),
     ("error", Outcome::HostError),
     ("away", Outcome::TurnedAway),
     ("timeout", Outcome::TimedOut),
     ("unreached", Outcome::NotConnected),
     ("broken", Outcome::Broken),
+    ("spoilt", Outcome::Garbled),
     ("off", Outcome::CalledOff),
     ("unsent", Outcome::NotSent),
     ("miss", Outcome::Miss),
