A leg is kept back till the never_mind of the one before must have arrived

A probe of what becomes of retries after a time-out at the same cache: 65 answered or missed within 20 ms, 67 silent for 1.3 s. The retry goes on another connection under the same id, so that its want could overtake the never_mind, and the host dropped it (host.rs sent both at once to two actors). Ruled out: load, object size, the host's own trouble. Now the host's actor keeps a want back for 5 ms after a never_mind of its query.

--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -17,15 +17,19 @@
 /// A leg as the module knows it.
 pub type LegKey = (QueryId, LegNo);
 
+/// What a line is asked to carry out to its host.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    pub key: LegKey,
+    pub id: String,
+    pub line: Vec<u8>,
+    /// It names the client's copy, so that the answer may be that this one holds.
+    pub seen: bool,
+}
+
 #[derive(Clone, Debug)]
 pub enum Order {
-    Want {
-        key: LegKey,
-        id: String,
-        line: Vec<u8>,
-        /// It names the client's copy, so that the answer may be that this one holds.
-        seen: bool,
-    },
+    Want(Wanted),
     /// `unheard`: its time was up, so that a line which has brought nothing since may be dead.
     NeverMind {
         key: LegKey,
@@ -35,6 +39,8 @@
         tag: u64,
         load: bool,
     },
+    /// A want that was kept back may go out now.
+    Release(LegKey),
     CloseIdle,
     /// The host is gone: what is out may end, nothing new comes.
     Retire,
@@ -53,6 +59,9 @@
 /// How long after a connection broke its host's others are looked at, and how often while none is up.
 const OTHERS_FOLLOW: Duration = Duration::from_millis(4);
 const LOOKS: usize = 25;
+/// Guards against a `never_mind` that arrives behind the next leg of its query, which goes on another connection
+/// under the same id: the host would drop that one. So long the next is kept back.
+const CROSSING: Duration = Duration::from_millis(5);
 /// Part of the cap on connections up to which a leg gets one to itself.
 const OWN_PART: f64 = 0.75;
 
@@ -99,6 +108,7 @@
     pub fn run(self) {
         self.mail.wake_by(Wake::Park(coroutine::current()));
         let (mut lines, mut retired): (Vec<Arc<Line>>, bool) = (Vec::new(), false);
+        let (mut given_up, mut kept_back) = (BTreeMap::<QueryId, Duration>::new(), BTreeMap::new());
         while !retired || !lines.is_empty() {
             let Some(order) = self.mail.take() else {
                 coroutine::park();
@@ -106,18 +116,35 @@
             };
             lines.retain(|line| !line.is_over());
             match order {
-                Order::Want { key, id, line, seen } => {
-                    let Some(on) = self.line_for(&id, &mut lines) else {
-                        self.wires.module.send(Word::Fell { key, outcome: Outcome::NotConnected });
+                Order::Want(wanted) => {
+                    let wait = given_up
+                        .get(&wanted.key.0)
+                        .map_or(Duration::ZERO, |at| (*at + CROSSING).saturating_sub(self.wires.clock.now()));
+                    if wait > Duration::ZERO {
+                        let (mail, key) = (self.mail.clone(), wanted.key);
+                        kept_back.insert(key, wanted);
+                        may::go!(move || {
+                            coroutine::sleep(wait);
+                            mail.send(Order::Release(key));
+                        });
                         continue;
-                    };
-                    on.send(LineWord::Want { key, id, line, seen });
+                    }
+                    self.want(wanted, &mut lines);
+                }
+                Order::Release(key) => {
+                    if let Some(wanted) = kept_back.remove(&key) {
+                        self.want(wanted, &mut lines);
+                    }
                 }
                 Order::Probe { tag, load } => match self.line_for("", &mut lines) {
                     Some(on) => on.send(LineWord::Probe { tag, load }),
                     None => self.wires.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected }),
                 },
                 Order::NeverMind { key, unheard } => {
+                    let now = self.wires.clock.now();
+                    given_up.retain(|_, at| now < *at + CROSSING);
+                    given_up.insert(key.0, now);
+                    kept_back.remove(&key);
                     lines.iter().for_each(|line| line.send(LineWord::NeverMind { key, unheard }));
                 }
                 Order::CloseIdle => lines.iter().for_each(|line| line.send(LineWord::CloseIdle)),
@@ -132,6 +159,15 @@
         }
     }
 
+    fn want(&self, wanted: Wanted, lines: &mut Vec<Arc<Line>>) {
+        match self.line_for(&wanted.id, lines) {
+            Some(on) => on.send(LineWord::Want(wanted)),
+            None => {
+                self.wires.module.send(Word::Fell { key: wanted.key, outcome: Outcome::NotConnected });
+            }
+        }
+    }
+
     /// Tells of legs that ended with their line. Guards against taking a reset of one connection for the death
     /// of the process, which resets all and takes no new one for a while: a connection that is up by then, old
     /// or new, shows that the host lives.
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,6 +1,6 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
-use crate::host::{Fallen, LegKey, Order, Wires};
+use crate::host::{Fallen, LegKey, Order, Wanted, Wires};
 use crate::mailbox::{Mailbox, Wake};
 use crate::module::Word;
 use may::io::WaitIo;
@@ -22,12 +22,7 @@
 const MOST_UNANSWERED: usize = 8;
 
 pub enum LineWord {
-    Want {
-        key: LegKey,
-        id: String,
-        line: Vec<u8>,
-        seen: bool,
-    },
+    Want(Wanted),
     NeverMind {
         key: LegKey,
         unheard: bool,
@@ -107,8 +102,8 @@
     }
 
     pub fn send(&self, word: LineWord) {
-        if let LineWord::Want { id, .. } = &word {
-            lock(&self.unanswered).insert(id.clone());
+        if let LineWord::Want(wanted) = &word {
+            lock(&self.unanswered).insert(wanted.id.clone());
             self.out.fetch_add(1, Ordering::Relaxed);
         }
         self.mail.send(word);
@@ -182,7 +177,7 @@
     }
     while let Some(word) = shared.mail.take() {
         match word {
-            LineWord::Want { key, .. } => unsent.legs.push(key),
+            LineWord::Want(wanted) => unsent.legs.push(wanted.key),
             LineWord::Probe { tag, .. } => {
                 wires.module.send(Word::ProbeFell { tag, outcome: unsent.if_gone });
             }
@@ -258,8 +253,8 @@
         for word in words {
             match word {
                 // Guards against wants that go out after their time, when the connection came up late.
-                LineWord::Want { key, ref id, .. } if called_off.contains(&key) => {
-                    lock(&self.shared.unanswered).remove(id);
+                LineWord::Want(wanted) if called_off.contains(&wanted.key) => {
+                    lock(&self.shared.unanswered).remove(&wanted.id);
                 }
                 word => self.carry(word),
             }
@@ -270,7 +265,7 @@
     fn carry(&mut self, word: LineWord) {
         let now = self.wires.clock.now();
         match word {
-            LineWord::Want { key, id, line, seen } => {
+            LineWord::Want(Wanted { key, id, line, seen }) => {
                 self.out.extend_from_slice(&line);
                 self.legs.insert(id, LegOut { key, sent: now, seen });
                 *lock(&self.shared.used) = now;
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -3,7 +3,7 @@
 
 use crate::client::ClientWord;
 use crate::clock::Clock;
-use crate::host::{Host, LegKey, Order, Wires};
+use crate::host::{Host, LegKey, Order, Wanted, Wires};
 use crate::list::{id_of, Entry};
 use crate::mailbox::{Mailbox, Wake};
 use may::coroutine;
@@ -363,7 +363,7 @@
             seen: open.ask.seen.as_deref(),
         };
         let (id, seen) = (open.ask.call_id.clone(), line.seen.is_some());
-        let order = Order::Want { key, id, line: line.encode(), seen };
+        let order = Order::Want(Wanted { key, id, line: line.encode(), seen });
         match mail {
             Some(mail) => mail.send(order),
             None => self.end_leg(key, Outcome::NotSent, None, Duration::ZERO),
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -10,6 +10,7 @@
 //!     a within MS ...                   what follows, by then
 //!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
 //!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
+//!     c trails WORD...                  the same, and it comes a moment after the line that was got before
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
 //!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board
@@ -23,7 +24,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Once;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -90,6 +91,7 @@
     service: Option<Service>,
     address: Option<SocketAddr>,
     stopping: Option<JoinHandle<Service>>,
+    got: Instant,
 }
 
 impl Play {
@@ -204,6 +206,11 @@
                 assert!(answer.starts_with(&status), "{answer:?} for {line:?}");
                 rest[1..].iter().for_each(|word| assert!(answer.contains(word), "{answer:?} for {line:?}"));
             }
+            (_, "trails") => {
+                let before = self.got;
+                self.play(&format!("{name} gets {}", rest.join(" ")));
+                assert!(self.got - before > Duration::from_millis(1), "{:?}", self.got - before);
+            }
             (_, "gets") => {
                 let party = self.party(name);
                 let got = party.line();
@@ -216,6 +223,7 @@
                     party.id = got.split(' ').nth(1).unwrap().to_string();
                     assert_eq!(party.line(), "\r\n");
                 }
+                self.got = Instant::now();
             }
             (_, "says") => {
                 let party = self.party(name);
@@ -254,6 +262,7 @@
         service: None,
         address: None,
         stopping: None,
+        got: Instant::now(),
     };
     let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
     lines.for_each(|line| {
