--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -1,3 +1,5 @@
+mod log;
+
 use clap::{Parser, Subcommand};
 use rockflow_dispatcher::{Service, Told};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -89,6 +91,7 @@
     // Written by a thread of its own, so that no coroutine waits for whoever reads the log.
     let log = NonBlockingBuilder::default().buffered_lines_limit(MOST_LOG_LINES);
     let (log, _guard) = log.finish(std::io::stderr());
+    let log = log::Bounded::new(log, log::MOST_LINES);
     tracing_subscriber::fmt().with_writer(log).with_max_level(level).with_ansi(false).init();
     let told = source.read()?;
     Service::set_up();
