--- /dev/null
+++ b/crates/rockflow-yang/src/path.rs
@@ -0,0 +1,193 @@
+//! Names of values: a `Path` is one instance, a `Pattern` may leave keys open, or end in anything below.
+//! The text is that of an instance identifier (RFC 7951, section 6.11): `/rockflow-router:router/marks/
+//! mark[host='c1']/state`. Steps without a module are looked for by their plain name.
+
+use crate::schema::{Kind, NodeId, Schema};
+use crate::types::{Keys, Scalar};
+
+/// More steps than any path of a model here can have.
+pub const MOST_STEPS: usize = 32;
+/// The longest text of a path that is read.
+pub const MOST_TEXT: usize = 4096;
+
+/// One node on the way; the keys are empty but at a list's entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Step {
+    pub node: NodeId,
+    pub keys: Keys,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Path(pub Vec<Step>);
+
+/// One node on the way, with each key told or left open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loose {
+    pub node: NodeId,
+    pub keys: Vec<Option<Scalar>>,
+}
+
+/// Where a pattern leads: along told nodes, each then with all that lies below it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pattern(pub Vec<Loose>);
+
+impl Path {
+    pub fn then(&self, node: NodeId, keys: Keys) -> Path {
+        let mut steps = self.0.clone();
+        steps.push(Step { node, keys });
+        Path(steps)
+    }
+
+    pub fn node(&self) -> Option<NodeId> {
+        self.0.last().map(|step| step.node)
+    }
+
+    /// Whether the other is this one or lies below it.
+    pub fn holds(&self, other: &Path) -> bool {
+        other.0.len() >= self.0.len() && self.0.iter().zip(&other.0).all(|(mine, its)| mine == its)
+    }
+
+    pub fn text(&self, schema: &Schema) -> String {
+        let mut text = String::new();
+        for step in &self.0 {
+            text += &format!("/{}", schema.qualified(step.node));
+            for (key, value) in schema.keys(step.node).iter().zip(&step.keys) {
+                text += &format!("[{}={}]", schema.node(*key).name, quote(&value.to_string()));
+            }
+        }
+        if text.is_empty() {
+            text.push('/');
+        }
+        text
+    }
+
+    /// Reads one instance: every list on the way has all its keys. The last may be a whole list.
+    pub fn read(schema: &Schema, text: &str) -> Result<Path, String> {
+        let pattern = Pattern::read(schema, text)?;
+        let last = pattern.0.len().saturating_sub(1);
+        let step = |(place, loose): (usize, Loose)| {
+            let whole = place == last && loose.keys.iter().all(Option::is_none);
+            let keys = if whole { Some(Vec::new()) } else { loose.keys.into_iter().collect() };
+            keys.map(|keys| Step { node: loose.node, keys })
+        };
+        let steps: Option<Vec<_>> = pattern.0.into_iter().enumerate().map(step).collect();
+        steps.map(Path).ok_or_else(|| format!("{text}: a list on the way has no key"))
+    }
+}
+
+impl Pattern {
+    /// One instance, or all that lies below it.
+    pub fn of(path: &Path) -> Pattern {
+        let loose =
+            |step: &Step| Loose { node: step.node, keys: step.keys.iter().cloned().map(Some).collect() };
+        Pattern(path.0.iter().map(loose).collect())
+    }
+
+    /// Whether the path is named, or lies below what is.
+    pub fn holds(&self, path: &Path) -> bool {
+        path.0.len() >= self.0.len() && self.0.iter().zip(&path.0).all(|(loose, step)| loose.fits(step))
+    }
+
+    /// Whether something below the path may be named.
+    pub fn may_hold_below(&self, path: &Path) -> bool {
+        self.0.iter().zip(&path.0).all(|(loose, step)| loose.fits(step))
+    }
+
+    pub fn node(&self) -> Option<NodeId> {
+        self.0.last().map(|loose| loose.node)
+    }
+
+    /// Reads a pattern: `*` as a key's value, or no keys, leaves them open.
+    pub fn read(schema: &Schema, text: &str) -> Result<Pattern, String> {
+        if text.len() > MOST_TEXT {
+            return Err("the path is too long".to_string());
+        }
+        let mut rest = text.trim();
+        let mut steps: Vec<Loose> = Vec::new();
+        if rest == "/" {
+            return Ok(Pattern(steps));
+        }
+        while !rest.is_empty() {
+            rest = rest.strip_prefix('/').ok_or_else(|| format!("{text}: a step begins with /"))?;
+            if steps.len() >= MOST_STEPS {
+                return Err("the path has too many steps".to_string());
+            }
+            let end = rest.find(['/', '[']).unwrap_or(rest.len());
+            let (name, more) = rest.split_at(end);
+            rest = more;
+            let mut told = Vec::new();
+            while let Some(inner) = rest.strip_prefix('[') {
+                let (key, value, more) = predicate(inner).ok_or_else(|| format!("{text}: a key is odd"))?;
+                told.push((key, value));
+                rest = more;
+            }
+            let told = told.iter().map(|(key, value)| (key.as_str(), value.as_str()));
+            steps.push(Loose::read(schema, steps.last(), name, told)?);
+        }
+        Ok(Pattern(steps))
+    }
+}
+
+impl Loose {
+    fn fits(&self, step: &Step) -> bool {
+        let open = |(told, key): (&Option<Scalar>, &Scalar)| told.as_ref().is_none_or(|told| told == key);
+        self.node == step.node && self.keys.iter().zip(&step.keys).all(open)
+    }
+
+    /// A step by its name, with the keys that are told; `*`, `''` and untold ones are open.
+    pub fn read<'a>(
+        schema: &Schema,
+        above: Option<&Loose>,
+        name: &str,
+        told: impl Iterator<Item = (&'a str, &'a str)>,
+    ) -> Result<Loose, String> {
+        let (module, plain) = match name.split_once(':') {
+            Some((module, plain)) => {
+                let known = schema.module_named(module);
+                (Some(known.ok_or_else(|| format!("{name}: no such module"))?), plain)
+            }
+            None => (None, name),
+        };
+        let node = schema.child(above.map(|step| step.node), module, plain);
+        let node = node.ok_or_else(|| format!("{name}: no such node"))?;
+        let names = schema.keys(node);
+        let mut keys = vec![None; names.len()];
+        for (key, value) in told {
+            let plain = key.split_once(':').map_or(key, |(_, plain)| plain);
+            let place = names.iter().position(|id| schema.node(*id).name == plain);
+            let place = place.ok_or_else(|| format!("{name}: {key} is no key of it"))?;
+            if value != "*" {
+                let of = schema.type_of(names[place]).ok_or("a key has no type")?;
+                keys[place] = Some(of.read(value).map_err(|what| format!("{name}: {key} {what}"))?);
+            }
+        }
+        Ok(Loose { node, keys })
+    }
+}
+
+/// `key='value']...` as its parts and what follows.
+fn predicate(text: &str) -> Option<(String, String, &str)> {
+    let (key, rest) = text.split_once('=')?;
+    let rest = rest.trim_start();
+    let (value, rest) = match rest.chars().next()? {
+        quote @ ('\'' | '"') => {
+            let (value, rest) = rest[1..].split_once(quote)?;
+            (value, rest.trim_start().strip_prefix(']')?)
+        }
+        _ => rest.split_once(']')?,
+    };
+    Some((key.trim().to_string(), value.trim().to_string(), rest))
+}
+
+fn quote(value: &str) -> String {
+    if value.contains('\'') {
+        format!("\"{value}\"")
+    } else {
+        format!("'{value}'")
+    }
+}
+
+/// Whether values can stand below the node: not so for leaves, and for what is no data.
+pub fn is_leaf(schema: &Schema, node: NodeId) -> bool {
+    matches!(schema.node(node).kind, Kind::Leaf { .. } | Kind::LeafList { .. })
+}
--- /dev/null
+++ b/crates/rockflow-yang/tests/published.rs
@@ -0,0 +1,201 @@
+//! The published modules and what is read from them.
+
+use rockflow_yang::data::{self, EditError};
+use rockflow_yang::{json, Data, Edit, Fields, Kind, Op, Path, Pattern, Schema};
+use serde_json::json;
+use test_case::test_case;
+use yang_rs::config::Config;
+use yang_rs::parser::Parser;
+
+#[test]
+fn the_grammar_is_what_another_reader_takes() {
+    for (name, text) in rockflow_yang::PUBLISHED {
+        let read = Parser::parse_yang_from_string(text.to_string(), Config::new());
+        assert!(read.is_ok(), "{name}: {:?}", read.err());
+    }
+}
+
+#[test]
+fn every_node_says_what_it_is() {
+    let schema = Schema::published();
+    for node in schema.nodes() {
+        let own = !matches!(node.kind, Kind::Input | Kind::Output);
+        assert!(!own || node.description.len() > 3, "{}", schema.path_of(node.id));
+    }
+    let state = schema.find(&["router", "state", "hosts", "host", "legs-out"]).unwrap();
+    assert!(!schema.node(state).config);
+    let mark = schema.find(&["router", "marks", "mark"]).unwrap();
+    assert!(schema.node(mark).config);
+    assert_eq!(schema.path_of(mark), "/rockflow-router:router/marks/mark");
+    let access = schema.find(&["router", "access"]).unwrap();
+    assert_eq!(schema.path_of(access), "/rockflow-router:router/rockflow-access:access");
+}
+
+const BROKEN: &str = "module m { namespace \"urn:m\"; prefix m; revision 2026-01-01; BODY }";
+
+#[test_case("leaf a { type string; }", true)]
+#[test_case("leaf a { type wrong; }", false; "unknown type")]
+#[test_case("leaf a { type uint8 { range \"1..x\"; } }", false; "odd range")]
+#[test_case("leaf a { type uint8; default 300; }", false; "default past its type")]
+#[test_case("list l { key k; leaf a { type string; } }", false; "no such key")]
+#[test_case("leaf a { type string; must \"1\"; }", false; "a condition that nobody would check")]
+#[test_case("choice c { leaf a { type string; } }", false; "what is not served")]
+#[test_case("leaf a { type enumeration { enum x; } } leaf a { type string; }", false; "twice")]
+#[test_case("augment \"/n:x\" { leaf a { type string; } }", false; "nothing to augment")]
+#[test_case("leaf a { type string; ", false; "without end")]
+fn what_is_not_understood_is_refused(body: &str, taken: bool) {
+    let text = BROKEN.replace("BODY", body);
+    let read = Schema::compile(&[("m", &text)]);
+    assert_eq!(read.is_ok(), taken, "{:?}", read.err());
+}
+
+fn tree(schema: &Schema, value: serde_json::Value) -> Fields {
+    json::read(schema, None, &value, true).unwrap()
+}
+
+fn marked() -> serde_json::Value {
+    json!({"rockflow-router:router": {
+        "marks": {"mark": [{"host": "c1", "state": "draining", "reason": "disk"}, {"host": "c2"}]},
+        "rockflow-access:access": {"rule": [{"number": 4, "group": ["all"], "action": "permit"}]},
+        "state": {"up": "12", "hosts": {"host": [{"name": "c1", "health": "0.25", "cell": 3}]}}
+    }})
+}
+
+#[test]
+fn json_comes_back_as_it_was() {
+    let schema = Schema::published();
+    let fields = tree(&schema, marked());
+    assert_eq!(json::write(&schema, &fields), marked());
+}
+
+#[test_case(json!({"rockflow-router:router": {"nothing": 1}}); "unknown name")]
+#[test_case(json!({"other:router": {}}); "unknown module")]
+#[test_case(json!({"rockflow-router:router": {"marks": {"mark": [{"state": "gone"}]}}}); "no key")]
+#[test_case(json!({"rockflow-router:router": {"marks": {"mark": [{"host": "c"}, {"host": "c"}]}}}); "twice")]
+#[test_case(json!({"rockflow-router:router": {"marks": {"mark": {"host": "c"}}}}); "no array")]
+#[test_case(json!({"rockflow-router:router": {"marks": {"mark": [{"host": "c", "state": "ready"}]}}}); "narrowed")]
+#[test_case(json!({"rockflow-router:router": {"marks": {"mark": [{"host": "a b"}]}}}); "a blank in a name")]
+#[test_case(json!({"rockflow-router:router": {"management": {"most-sessions": 0}}}); "out of range")]
+#[test_case(json!({"rockflow-router:router": {"management": {"most-sessions": true}}}); "another type")]
+#[test_case(json!({"rockflow-router:router": {"state": {"up": "1"}}}); "state")]
+#[test_case(json!([]); "no object")]
+fn json_is_judged_strictly(value: serde_json::Value) {
+    assert!(json::read(&Schema::published(), None, &value, false).is_err());
+}
+
+#[test_case("/rockflow-router:router/marks/mark[host='c1']/state", true)]
+#[test_case("/router/marks/mark[host=\"c1\"]", true; "plain names")]
+#[test_case("/router/marks/mark", true; "a whole list")]
+#[test_case("/", true; "all")]
+#[test_case("/router/marks/mark/state", false; "a key is missing on the way")]
+#[test_case("/router/marks/mark[nohost='1']", false)]
+#[test_case("/router/marks/mark[host='c1'", false)]
+#[test_case("router", false)]
+#[test_case("/router//marks", false)]
+fn paths_name_one_thing(text: &str, reads: bool) {
+    let schema = Schema::published();
+    let path = Path::read(&schema, text);
+    assert_eq!(path.is_ok(), reads, "{path:?}");
+    if let Ok(path) = path {
+        assert_eq!(Path::read(&schema, &path.text(&schema)).unwrap(), path);
+    }
+}
+
+fn edit(schema: &Schema, path: &str, op: Op, value: Option<serde_json::Value>) -> Edit {
+    let path = Path::read(schema, path).unwrap();
+    let node = path.node().unwrap();
+    let entry = path.0.last().is_some_and(|step| !step.keys.is_empty());
+    let value = value.map(|value| match entry {
+        true => Data::Container(json::read(schema, Some(node), &value, false).unwrap()),
+        false => json::read_data(schema, node, &value, true).unwrap(),
+    });
+    Edit { path, op, value }
+}
+
+#[test_case("/router/marks/mark[host='c9']", Op::Create, Some(json!({"reason": "x"})), None; "create")]
+#[test_case("/router/marks/mark[host='c1']", Op::Create, Some(json!({})), Some(EditError::Exists); "create what is")]
+#[test_case("/router/marks/mark[host='c9']", Op::Delete, None, Some(EditError::Missing); "delete what is not")]
+#[test_case("/router/marks/mark[host='c9']", Op::Remove, None, None; "remove what is not")]
+#[test_case("/router/marks/mark[host='c9']", Op::Expect, None, Some(EditError::Missing); "expect what is not")]
+#[test_case("/router/marks/mark[host='c1']/host", Op::Merge, Some(json!("c2")), Some(EditError::NotWritable); "change a key")]
+#[test_case("/router/marks/mark[host='c1']/host", Op::Remove, None, Some(EditError::NotWritable); "remove a key")]
+#[test_case("/router/marks/mark[host='c1']/author", Op::Merge, Some(json!("me")), Some(EditError::NotWritable); "write state")]
+#[test_case("/router/marks", Op::Delete, None, None; "delete all")]
+fn edits_say_what_is_wrong(path: &str, op: Op, value: Option<serde_json::Value>, error: Option<EditError>) {
+    let schema = Schema::published();
+    let before = tree(&schema, marked());
+    let mut after = before.clone();
+    let found = data::apply(&schema, &mut after, &edit(&schema, path, op, value));
+    assert_eq!(found.as_ref().err().map(|fault| fault.error), error);
+    if found.is_err() {
+        assert_eq!(before, after);
+    }
+}
+
+#[test]
+fn replace_drops_what_merge_keeps() {
+    let schema = Schema::published();
+    let mut fields = tree(&schema, marked());
+    let value = Some(json!({"expires": "2026-12-01T00:00:00Z"}));
+    let path = "/router/marks/mark[host='c1']";
+    let reason = Path::read(&schema, "/router/marks/mark[host='c1']/reason").unwrap();
+    data::apply(&schema, &mut fields, &edit(&schema, path, Op::Merge, value.clone())).unwrap();
+    assert!(data::get(&fields, &reason.0).is_some());
+    data::apply(&schema, &mut fields, &edit(&schema, path, Op::Replace, value)).unwrap();
+    assert!(data::get(&fields, &reason.0).is_none());
+    assert!(data::get(&fields, &Path::read(&schema, path).unwrap().0).is_some());
+}
+
+#[test]
+fn differences_replayed_lead_from_one_to_the_other() {
+    let schema = Schema::published();
+    let one = tree(&schema, marked());
+    let other = tree(
+        &schema,
+        json!({"rockflow-router:router": {
+            "marks": {"mark": [{"host": "c1", "reason": "fan"}, {"host": "c3"}]},
+            "rockflow-access:access": {"rule": [{"number": 4, "group": ["all", "night"], "action": "deny"}]}
+        }}),
+    );
+    for (from, to) in [(&one, &other), (&other, &one), (&Fields::new(), &one), (&one, &Fields::new())] {
+        let mut at = from.clone();
+        data::replay(&schema, &mut at, &data::differences(from, to));
+        assert_eq!(json::write(&schema, &at), json::write(&schema, to));
+    }
+}
+
+#[test]
+fn patterns_select_with_open_keys() {
+    let schema = Schema::published();
+    let fields = tree(&schema, marked());
+    let pattern = Pattern::read(&schema, "/router/marks/mark[host=*]/state").unwrap();
+    let found = data::select(&fields, &pattern);
+    assert_eq!(
+        json::write(&schema, &found),
+        json!({"rockflow-router:router": {"marks": {"mark": [{"state": "draining"}]}}})
+    );
+    let state = Path::read(&schema, "/router/marks/mark[host='c1']/state").unwrap();
+    assert!(pattern.holds(&state));
+    assert!(!pattern.holds(&Path::read(&schema, "/router/marks/mark[host='c1']/reason").unwrap()));
+}
+
+#[test]
+fn defaults_are_told_and_left_out() {
+    let schema = Schema::published();
+    let fields = tree(&schema, marked());
+    let full = data::with_defaults(&schema, &fields, true);
+    let level = data::leaf(&schema, &full, &["router", "logging", "level"]);
+    assert_eq!(level.map(ToString::to_string).as_deref(), Some("info"));
+    let back = data::without_defaults(&schema, &full);
+    assert!(data::leaf(&schema, &back, &["router", "logging", "level"]).is_none());
+}
+
+#[test_case(json!([{"number": 1, "group": ["all"]}]), false; "no action")]
+#[test_case(json!([{"number": 1, "action": "deny"}]), false; "nobody")]
+#[test_case(json!([{"number": 1, "group": ["all"], "action": "deny"}]), true)]
+fn whole_trees_are_checked(rules: serde_json::Value, holds: bool) {
+    let schema = Schema::published();
+    let fields =
+        tree(&schema, json!({"rockflow-router:router": {"rockflow-access:access": {"rule": rules}}}));
+    assert_eq!(data::check(&schema, &fields, &Path::default()).is_ok(), holds);
+}
