--- /dev/null
+++ b/crates/rockflow-management/src/membership.rs
@@ -0,0 +1,224 @@
+//! The one place where everything that says something about a host meets. What holds:
+//!
+//! | the board says | the operator's mark says | holds | whose word |
+//! | --- | --- | --- | --- |
+//! | nothing, or left | anything | not listed; the mark is kept apart | - |
+//! | ready | nothing, or expired | ready | board |
+//! | ready | draining or gone | draining or gone | operator |
+//! | leaving | nothing, or expired | draining | board |
+//! | leaving | draining | draining | both |
+//! | leaving | gone | gone | operator |
+//!
+//! The more careful word wins; a break of the board takes nothing back; a host is known by its name, so that a
+//! successor under another inherits nothing.
+
+use rockflow::interface::{Readiness, Role};
+use rockflow_yang::{data, Data, Fields, Schema};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// An operator's word on a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    /// `Draining` or `Gone`.
+    pub readiness: Readiness,
+    /// From then on it says nothing; none: it stays.
+    pub until: Option<Duration>,
+    /// Taken also where none of its like is left.
+    pub force: bool,
+}
+
+pub type Marks = BTreeMap<String, Mark>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Says {
+    Board,
+    Operator,
+    Both,
+}
+
+impl Says {
+    pub fn name(self) -> &'static str {
+        match self {
+            Says::Board => "board",
+            Says::Operator => "operator",
+            Says::Both => "both",
+        }
+    }
+}
+
+/// How careful a word is; the greater wins.
+fn care(readiness: Readiness) -> u8 {
+    match readiness {
+        Readiness::Ready => 0,
+        Readiness::Draining => 1,
+        Readiness::Gone => 2,
+    }
+}
+
+impl Mark {
+    pub fn holds(&self, now: Duration) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
+}
+
+/// The table above; none: not listed.
+pub fn effective(told: Option<Readiness>, mark: Option<&Mark>, now: Duration) -> Option<(Readiness, Says)> {
+    let told = told.filter(|told| *told != Readiness::Gone)?;
+    let Some(mark) = mark.filter(|mark| mark.holds(now)) else {
+        return Some((told, Says::Board));
+    };
+    Some(match care(mark.readiness).cmp(&care(told)) {
+        std::cmp::Ordering::Greater => (mark.readiness, Says::Operator),
+        std::cmp::Ordering::Equal => (told, Says::Both),
+        std::cmp::Ordering::Less => (told, Says::Board),
+    })
+}
+
+/// The marks of a configuration.
+pub fn marks(schema: &Schema, running: &Fields) -> Marks {
+    let find = |name: &str| schema.find(&["router", "marks", "mark", name]);
+    let (Some(state), Some(expires), Some(force)) = (find("state"), find("expires"), find("force")) else {
+        return Marks::new();
+    };
+    let mut marks = Marks::new();
+    for (keys, fields) in entries(schema, running) {
+        let text = |id| fields.get(&id).and_then(Data::scalar).and_then(|value| value.as_text());
+        let readiness = if text(state) == Some("gone") { Readiness::Gone } else { Readiness::Draining };
+        let until = text(expires).and_then(crate::moment::read);
+        let force = fields.get(&force).and_then(Data::scalar).and_then(|value| value.as_bool());
+        if let Some(host) = keys.first().and_then(|key| key.as_text()) {
+            marks.insert(host.to_string(), Mark { readiness, until, force: force.unwrap_or(false) });
+        }
+    }
+    marks
+}
+
+/// The entries under `marks/mark`.
+fn entries<'a>(schema: &Schema, running: &'a Fields) -> Vec<(&'a rockflow_yang::Keys, &'a Fields)> {
+    let steps = ["router", "marks", "mark"];
+    let ids: Option<Vec<_>> = (1..=3).map(|n| schema.find(&steps[..n])).collect();
+    let path = ids.unwrap_or_default().into_iter();
+    let path: Vec<_> = path.map(|node| rockflow_yang::Step { node, keys: Vec::new() }).collect();
+    match data::get(running, &path) {
+        Some(data::Found::Data(Data::List(entries))) => entries.iter().collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// What the list says of a host, for the question whether enough are left.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    pub role: Role,
+    pub location: u16,
+    pub told: Readiness,
+}
+
+/// Guards against draining the last: the group that would be left with no ready host, though it has one now and
+/// the new marks are not all forced. Caches serve their own location; parents and origins all of them.
+pub fn none_left(
+    hosts: &BTreeMap<String, Listed>,
+    before: &Marks,
+    after: &Marks,
+    now: Duration,
+) -> Option<String> {
+    let group = |host: &Listed| (host.role as usize, (host.role == Role::Cache).then_some(host.location));
+    let ready = |marks: &Marks| {
+        let mut groups: BTreeMap<_, BTreeSet<&str>> = BTreeMap::new();
+        for (name, host) in hosts {
+            let found = effective(Some(host.told), marks.get(name), now);
+            if found.is_some_and(|(readiness, _)| readiness == Readiness::Ready) {
+                groups.entry(group(host)).or_default().insert(name);
+            }
+        }
+        groups
+    };
+    let (old, new) = (ready(before), ready(after));
+    let emptied = old.iter().find(|(group, had)| {
+        let forced = had.iter().all(|name| after.get(*name).is_some_and(|mark| mark.force));
+        !new.contains_key(group) && !forced
+    });
+    emptied.map(|(_, had)| {
+        let names: Vec<_> = had.iter().copied().collect();
+        format!("no host would be left in place of {}", names.join(", "))
+    })
+}
+
+/// An entry of the list, as its holder keeps it.
+pub trait Member: Clone + PartialEq {
+    fn name(&self) -> &str;
+    fn told(&self) -> Readiness;
+    fn with(&self, readiness: Readiness) -> Self;
+}
+
+/// The effective list: what the board tells, what marks say, and what the decisions were told of it.
+#[derive(Debug)]
+pub struct Roll<M> {
+    told: BTreeMap<String, M>,
+    marks: Marks,
+    present: BTreeMap<String, M>,
+}
+
+impl<M: Member> Roll<M> {
+    pub fn new(marks: Marks) -> Self {
+        Roll { told: BTreeMap::new(), marks, present: BTreeMap::new() }
+    }
+
+    /// Takes what the board tells, whole or in part, and returns what is new for the decisions.
+    pub fn tell(&mut self, whole: bool, entries: Vec<M>, now: Duration) -> Vec<M> {
+        if whole {
+            self.told.clear();
+        }
+        for entry in entries {
+            if entry.told() == Readiness::Gone {
+                self.told.remove(entry.name());
+            } else {
+                self.told.insert(entry.name().to_string(), entry);
+            }
+        }
+        self.emit(now)
+    }
+
+    /// Takes all marks in place of those before.
+    pub fn mark(&mut self, marks: Marks, now: Duration) -> Vec<M> {
+        self.marks = marks;
+        self.emit(now)
+    }
+
+    /// What has changed by time alone.
+    pub fn tick(&mut self, now: Duration) -> Vec<M> {
+        self.emit(now)
+    }
+
+    /// When the next mark expires.
+    pub fn due(&self, now: Duration) -> Option<Duration> {
+        self.marks.values().filter_map(|mark| mark.until).filter(|until| *until > now).min()
+    }
+
+    pub fn told(&self) -> impl Iterator<Item = &M> {
+        self.told.values()
+    }
+
+    pub fn marks(&self) -> &Marks {
+        &self.marks
+    }
+
+    /// The difference between what is wanted and what is present, which it then is. One that is no longer
+    /// wanted comes as gone.
+    fn emit(&mut self, now: Duration) -> Vec<M> {
+        let mut wanted = BTreeMap::new();
+        for (name, entry) in &self.told {
+            if let Some((readiness, _)) = effective(Some(entry.told()), self.marks.get(name), now) {
+                if readiness != Readiness::Gone {
+                    wanted.insert(name.clone(), entry.with(readiness));
+                }
+            }
+        }
+        let lost = self.present.iter().filter(|(name, _)| !wanted.contains_key(*name));
+        let mut news: Vec<M> = lost.map(|(_, entry)| entry.with(Readiness::Gone)).collect();
+        let changed = wanted.iter().filter(|(name, entry)| self.present.get(*name) != Some(entry));
+        news.extend(changed.map(|(_, entry)| entry.clone()));
+        self.present = wanted;
+        news
+    }
+}
--- /dev/null
+++ b/crates/rockflow-management/src/subscription.rs
@@ -0,0 +1,145 @@
+//! What a follower is owed, for every protocol alike: changes since the last time, or a picture at intervals.
+//! Changes are kept by path, the last one only, so that a slow reader costs no more than what it follows; past
+//! a cap it is owed the whole picture anew instead.
+
+use rockflow_yang::{data, Change, Fields, Path, Pattern, Scalar};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Paths that may wait for a follower.
+pub const MOST_WAITING: usize = 20_000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trigger {
+    /// When something changes, but not more often than this (dampening); the whole again after `heartbeat`
+    /// without one.
+    OnChange { dampening: Duration, heartbeat: Option<Duration> },
+    /// At intervals; what has not changed since is left out where `suppress` says so, but for the heartbeat.
+    Periodic { period: Duration, suppress: bool, heartbeat: Option<Duration> },
+}
+
+/// What is sent to a follower.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    /// All that is followed, as it is now.
+    Whole(BTreeMap<Path, Scalar>),
+    /// What has changed; none: it is gone. `merged` counts changes that a later one overtook.
+    Changes { changes: BTreeMap<Path, Option<Scalar>>, merged: u64 },
+}
+
+#[derive(Debug)]
+pub struct Subscription {
+    patterns: Vec<Pattern>,
+    trigger: Trigger,
+    /// What has changed and was not sent, and how many changes were overtaken.
+    waiting: BTreeMap<Path, Option<Scalar>>,
+    merged: u64,
+    /// The whole is owed.
+    whole: bool,
+    /// What was sent last, where what has not changed is left out.
+    sent: BTreeMap<Path, Scalar>,
+    last: Option<Duration>,
+    last_whole: Duration,
+}
+
+impl Subscription {
+    /// `updates_only`: the picture at the start is not owed.
+    pub fn new(patterns: Vec<Pattern>, trigger: Trigger, updates_only: bool, now: Duration) -> Self {
+        Subscription {
+            patterns,
+            trigger,
+            waiting: BTreeMap::new(),
+            merged: 0,
+            whole: !updates_only,
+            sent: BTreeMap::new(),
+            last: None,
+            last_whole: now,
+        }
+    }
+
+    fn follows(&self, path: &Path) -> bool {
+        self.patterns.iter().any(|pattern| pattern.holds(path))
+    }
+
+    /// Takes changes as they come.
+    pub fn offer(&mut self, changes: &[Change]) {
+        if !matches!(self.trigger, Trigger::OnChange { .. }) || self.whole {
+            return;
+        }
+        for change in changes.iter().filter(|change| self.patterns.iter().any(|p| p.holds(&change.path))) {
+            if self.waiting.insert(change.path.clone(), change.after.clone()).is_some() {
+                self.merged += 1;
+            }
+        }
+        if self.waiting.len() > MOST_WAITING {
+            self.waiting.clear();
+            self.whole = true;
+        }
+    }
+
+    /// When something is owed; none: not before something changes.
+    pub fn due(&self) -> Option<Duration> {
+        match self.trigger {
+            Trigger::OnChange { dampening, heartbeat } => {
+                let next = self.last.map_or(Duration::ZERO, |last| last + dampening);
+                let changed = (self.whole || !self.waiting.is_empty()).then_some(next);
+                let beat = heartbeat.map(|heartbeat| self.last_whole + heartbeat);
+                changed.into_iter().chain(beat).min()
+            }
+            Trigger::Periodic { period, .. } => Some(self.last.map_or(Duration::ZERO, |last| last + period)),
+        }
+    }
+
+    /// What is owed by now; `present` is asked for the picture where that is needed.
+    pub fn take(&mut self, now: Duration, present: impl FnOnce() -> Fields) -> Option<Update> {
+        if self.due().is_none_or(|due| due > now) {
+            return None;
+        }
+        let first = self.last.is_none();
+        // Steps of the period stay in their places where one was late; those missed are not made up for.
+        self.last = Some(match (self.trigger, self.last) {
+            (Trigger::Periodic { period, .. }, Some(last)) if now < last + 2 * period => last + period,
+            _ => now,
+        });
+        match self.trigger {
+            Trigger::OnChange { heartbeat, .. } => {
+                let beat = heartbeat.is_some_and(|heartbeat| self.last_whole + heartbeat <= now);
+                if self.whole || beat {
+                    self.last_whole = now;
+                    self.whole = false;
+                    self.waiting.clear();
+                    return Some(Update::Whole(self.picture(present())));
+                }
+                let merged = std::mem::take(&mut self.merged);
+                Some(Update::Changes { changes: std::mem::take(&mut self.waiting), merged })
+            }
+            Trigger::Periodic { suppress, heartbeat, .. } => {
+                if first && !self.whole {
+                    return None;
+                }
+                self.whole = true;
+                let picture = self.picture(present());
+                let beat = heartbeat.is_some_and(|heartbeat| self.last_whole + heartbeat <= now);
+                if !suppress || first || beat {
+                    self.last_whole = now;
+                    if suppress {
+                        self.sent = picture.clone();
+                    }
+                    return Some(Update::Whole(picture));
+                }
+                let old = std::mem::replace(&mut self.sent, picture.clone());
+                let mut changes: BTreeMap<Path, Option<Scalar>> = BTreeMap::new();
+                for path in old.keys().filter(|path| !picture.contains_key(*path)) {
+                    changes.insert(path.clone(), None);
+                }
+                let new = picture.into_iter().filter(|(path, value)| old.get(path) != Some(value));
+                changes.extend(new.map(|(path, value)| (path, Some(value))));
+                (!changes.is_empty()).then_some(Update::Changes { changes, merged: 0 })
+            }
+        }
+    }
+
+    fn picture(&self, present: Fields) -> BTreeMap<Path, Scalar> {
+        data::leaves(&present).into_iter().filter(|(path, _)| self.follows(path)).collect()
+    }
+}
--- /dev/null
+++ b/crates/rockflow-management/tests/authorization.rs
@@ -0,0 +1,82 @@
+//! Each operation on each subtree, tried as each group: one table.
+
+use rockflow_management::{Access, Operation};
+use rockflow_yang::{json, Path, Schema};
+
+const RULES: &str = r#"{"rockflow-router:router": {"rockflow-access:access": {
+  "group": [
+    {"name": "watch", "user": ["wim"]}, {"name": "drain", "user": ["dot"]},
+    {"name": "marks", "user": ["max"]}, {"name": "all-but-access", "user": ["abe"]},
+    {"name": "blind", "user": ["bo"]}
+  ],
+  "rule": [
+    {"number": 1, "group": ["blind"], "path": "/router/state", "operation": ["read"], "action": "deny"},
+    {"number": 2, "group": ["drain"], "rpc": "drain", "action": "permit"},
+    {"number": 3, "group": ["drain"], "rpc": "undrain", "action": "permit"},
+    {"number": 4, "group": ["marks"], "path": "/router/marks/mark[host='c1']", "action": "permit"},
+    {"number": 5, "group": ["all-but-access"], "path": "/router/access", "action": "deny"},
+    {"number": 6, "group": ["all-but-access"], "path": "/router", "action": "permit"},
+    {"number": 7, "group": ["all-but-access"], "rpc": "*", "action": "permit"}
+  ]}}}"#;
+
+const PATHS: [&str; 6] = [
+    "/router/marks/mark[host='c1']/state",
+    "/router/marks/mark[host='c2']/state",
+    "/router/logging/level",
+    "/router/access/write-default",
+    "/router/state/hosts/host[name='c1']/effective",
+    "/router/management/most-sessions",
+];
+const CALLS: [&str; 8] =
+    ["get", "edit-config", "commit", "drain", "undrain", "rollback", "kill-session", "delete-config"];
+
+/// By user: what is permitted of create, read, update and delete on each path, then of each call.
+const TABLE: [(&str, [&str; 6], &str); 7] = [
+    (
+        "root",
+        ["crud", "crud", "crud", "crud", "crud", "crud"],
+        "get edit-config commit drain undrain rollback kill-session delete-config",
+    ),
+    ("nobody", ["-r--", "-r--", "-r--", "----", "-r--", "-r--"], "get edit-config commit"),
+    ("wim", ["-r--", "-r--", "-r--", "----", "-r--", "-r--"], "get edit-config commit"),
+    ("dot", ["-r--", "-r--", "-r--", "----", "-r--", "-r--"], "get edit-config commit drain undrain"),
+    ("max", ["crud", "-r--", "-r--", "----", "-r--", "-r--"], "get edit-config commit"),
+    (
+        "abe",
+        ["crud", "crud", "crud", "----", "crud", "crud"],
+        "get edit-config commit drain undrain rollback kill-session delete-config",
+    ),
+    ("bo", ["-r--", "-r--", "-r--", "----", "----", "-r--"], "get edit-config commit"),
+];
+
+#[test]
+fn the_table_holds() {
+    let schema = Schema::published();
+    let running = json::read(&schema, None, &serde_json::from_str(RULES).unwrap(), false).unwrap();
+    let access = Access::of(&schema, &running, Some("root".into())).unwrap();
+    let operations = [
+        (Operation::Create, 'c'),
+        (Operation::Read, 'r'),
+        (Operation::Update, 'u'),
+        (Operation::Delete, 'd'),
+    ];
+    for (user, rights, calls) in TABLE {
+        for (text, wanted) in PATHS.into_iter().zip(rights) {
+            let path = Path::read(&schema, text).unwrap();
+            let letter = |(operation, letter)| if access.may(user, operation, &path) { letter } else { '-' };
+            let found: String = operations.map(letter).iter().collect();
+            assert_eq!(found, wanted, "{user} {text}");
+        }
+        let found: Vec<_> = CALLS.into_iter().filter(|call| access.may_call(user, call)).collect();
+        assert_eq!(found.join(" "), calls, "{user}");
+    }
+}
+
+#[test]
+fn what_may_not_be_read_is_not_told() {
+    let schema = Schema::published();
+    let running = json::read(&schema, None, &serde_json::from_str(RULES).unwrap(), false).unwrap();
+    let access = Access::of(&schema, &running, Some("root".into())).unwrap();
+    assert_eq!(access.readable(&schema, "root", &running), running);
+    assert!(access.readable(&schema, "wim", &running).is_empty());
+}
--- a/crates/rockflow-yang/src/path.rs
+++ b/crates/rockflow-yang/src/path.rs
@@ -54,6 +54,9 @@
             for (key, value) in schema.keys(step.node).iter().zip(&step.keys) {
                 text += &format!("[{}={}]", schema.node(*key).name, quote(&value.to_string()));
             }
+            if let (Kind::LeafList { .. }, Some(value)) = (&schema.node(step.node).kind, step.keys.first()) {
+                text += &format!("[.={}]", quote(&value.to_string()));
+            }
         }
         if text.is_empty() {
             text.push('/');
@@ -61,7 +64,8 @@
         text
     }
 
-    /// Reads one instance: every list on the way has all its keys. The last may be a whole list.
+    /// Reads one instance: every list on the way has all its keys. The last may be a whole list, or a value of
+    /// a leaf-list.
     pub fn read(schema: &Schema, text: &str) -> Result<Path, String> {
         let pattern = Pattern::read(schema, text)?;
         let last = pattern.0.len().saturating_sub(1);
@@ -153,6 +157,11 @@
         let names = schema.keys(node);
         let mut keys = vec![None; names.len()];
         for (key, value) in told {
+            // A leaf-list's value is named by itself (RFC 7950, section 9.13).
+            if let (".", Kind::LeafList { of, .. }) = (key, &schema.node(node).kind) {
+                keys = vec![Some(of.read(value).map_err(|what| format!("{name}: {what}"))?)];
+                continue;
+            }
             let plain = key.split_once(':').map_or(key, |(_, plain)| plain);
             let place = names.iter().position(|id| schema.node(*id).name == plain);
             let place = place.ok_or_else(|| format!("{name}: {key} is no key of it"))?;
