One file of the actors' words; marks meet the board in the list; the operator's file and desk

Every outside influence on the list of hosts has to meet in one place, and the actors imported each other's words.

words.rs holds what the actors exchange. The list's actor keeps a Roll where somebody can mark: board and marks merged, only differences told, marks expire by themselves. Link is the way in from another thread: marks, acknowledged once the decisions go by them, and a survey.

Scenarios on loopback: a drain in the middle of a burst, as host and as source, under a board that leaves, sends anew and is away; a mark that expires; a mark of gone and back.

--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -2,14 +2,16 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
+use crate::words::{BoardWord, ListWord};
 use may::coroutine;
 use may::io::WaitIo;
 use may::net::TcpStream;
-use rockflow_protocol::board::{self, Notice, Stream};
+use rockflow_protocol::board::{self, Stream};
 use rockflow_protocol::Buffer;
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tracing::{info, warn};
 
@@ -19,11 +21,26 @@
 /// The wait before the next call: from the first to the second, doubled with each failure, less by chance.
 const WAIT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
-pub enum BoardWord {
-    /// The board is at another address from now on; its numbers go on.
-    MoveTo(SocketAddr),
-    /// Look whether the board has fallen silent.
-    Look,
+/// What others see of the board.
+#[derive(Debug)]
+pub struct Seen {
+    address: Mutex<SocketAddr>,
+    last: AtomicU64,
+    /// In milliseconds of the clock; 0: never.
+    heard: AtomicU64,
+}
+
+impl Seen {
+    pub fn new(address: SocketAddr, last: u64) -> Arc<Seen> {
+        Arc::new(Seen { address: Mutex::new(address), last: AtomicU64::new(last), heard: AtomicU64::new(0) })
+    }
+
+    /// The address, the number of the last notice, and when it was last heard.
+    pub fn read(&self) -> (SocketAddr, u64, Option<Duration>) {
+        let heard = self.heard.load(Ordering::Relaxed);
+        let address = *self.address.lock().unwrap_or_else(PoisonError::into_inner);
+        (address, self.last.load(Ordering::Relaxed), (heard > 0).then(|| Duration::from_millis(heard)))
+    }
 }
 
 pub struct Board {
@@ -31,7 +48,8 @@
     pub address: SocketAddr,
     pub last: u64,
     pub mail: Arc<Mailbox<BoardWord>>,
-    pub list: Arc<Mailbox<Notice>>,
+    pub list: Arc<Mailbox<ListWord>>,
+    pub seen: Arc<Seen>,
     pub chance: oorandom::Rand64,
     /// What was asked for a second time: the number after a gap, and one that could not be read.
     pub gap_borne: Option<u64>,
@@ -60,6 +78,7 @@
         while let Some(word) = self.mail.take() {
             if let BoardWord::MoveTo(address) = word {
                 self.address = address;
+                *self.seen.address.lock().unwrap_or_else(PoisonError::into_inner) = address;
             }
         }
         self.address != at
@@ -82,6 +101,7 @@
                 Ok(0) => return Ok("ended".to_string()),
                 Ok(n) => {
                     heard = self.clock.now();
+                    self.seen.heard.store(heard.as_millis() as u64, Ordering::Relaxed);
                     buffer.add(n);
                     let taken = self.take(&mut sent, buffer.filled())?;
                     buffer.consume(taken);
@@ -117,7 +137,8 @@
                 warn!(from = next, to = rev - 1, "notices lost");
             }
             self.last = rev;
-            self.list.send(notice);
+            self.seen.last.store(rev, Ordering::Relaxed);
+            self.list.send(ListWord::Notice(notice));
         }
         if sent.unreadable() {
             let next = self.last + 1;
--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
-use crate::module::Word;
+use crate::words::{ClientWord, Word};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::interface::QueryId;
@@ -27,14 +27,6 @@
 /// Rounds after which a client that always has more to say lets others have their turn.
 const ROUNDS: usize = 16;
 
-pub enum ClientWord {
-    Answer(QueryId, Answer),
-    /// Look whether the connection has outlived its use.
-    Look,
-    /// Another needs the seat: leave it, unless a request has come by now.
-    GiveWay,
-}
-
 /// What others see of a connection.
 pub struct Seat {
     mail: Arc<Mailbox<ClientWord>>,
@@ -74,6 +66,10 @@
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn connections(&self) -> usize {
+        self.clients().len()
+    }
+
     /// Has every connection look whether it has outlived its use.
     pub fn look(&self) {
         self.clients().values().for_each(|seat| seat.mail.send(ClientWord::Look));
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -1,11 +1,11 @@
 //! The actor of a host: chooses the line on which each order goes, and opens another where none will do.
 
 use crate::clock::Clock;
-use crate::line::{Line, LineWord};
+use crate::line::Line;
 use crate::mailbox::{Mailbox, Wake};
-use crate::module::Word;
+use crate::words::{Fallen, LineWord, Order, Wanted, Word};
 use may::coroutine;
-use rockflow::interface::{LegNo, Outcome, QueryId};
+use rockflow::interface::{Outcome, QueryId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,48 +14,6 @@
 use std::time::Duration;
 use tracing::debug;
 
-/// A leg as the module knows it.
-pub type LegKey = (QueryId, LegNo);
-
-/// What a line is asked to carry out to its host.
-#[derive(Clone, Debug)]
-pub struct Wanted {
-    pub key: LegKey,
-    pub id: String,
-    pub line: Vec<u8>,
-    /// It names the client's copy, so that the answer may be that this one holds.
-    pub seen: bool,
-}
-
-#[derive(Clone, Debug)]
-pub enum Order {
-    Want(Wanted),
-    /// `unheard`: its time was up, so that a line which has brought nothing since may be dead.
-    NeverMind {
-        key: LegKey,
-        unheard: bool,
-    },
-    Probe {
-        tag: u64,
-        load: bool,
-    },
-    /// A want that was kept back may go out now.
-    Release(LegKey),
-    CloseIdle,
-    /// The host is gone: what is out may end, nothing new comes.
-    Retire,
-    /// A line ended, with what was given to it.
-    LineOver(Vec<Fallen>),
-}
-
-/// Legs that ended with their line: what that means if the host is gone, and if it lives.
-#[derive(Clone, Debug)]
-pub struct Fallen {
-    pub legs: Vec<LegKey>,
-    pub if_gone: Outcome,
-    pub if_it_lives: Outcome,
-}
-
 /// How long after a connection broke its host's others are looked at, and how often while none is up.
 const OTHERS_FOLLOW: Duration = Duration::from_millis(4);
 const LOOKS: usize = 25;
--- a/crates/rockflow-dispatcher/src/lib.rs
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -7,12 +7,16 @@
 pub mod clock;
 pub mod host;
 pub mod line;
+pub mod link;
 pub mod list;
 pub mod listener;
 pub mod mailbox;
 pub mod module;
 pub mod service;
 pub mod told;
+pub mod words;
 
+pub use clock::Clock;
+pub use link::Link;
 pub use service::{Phase, Service};
 pub use told::Told;
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,8 +1,8 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
-use crate::host::{Fallen, LegKey, Order, Wanted, Wires};
+use crate::host::Wires;
 use crate::mailbox::{Mailbox, Wake};
-use crate::module::Word;
+use crate::words::{Fallen, LegKey, LineWord, Order, Wanted, Word};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::interface::Outcome;
@@ -21,22 +21,6 @@
 /// Ids on a line that were never answered, in times the legs it carries at once; past it the line is spent.
 const MOST_UNANSWERED: usize = 8;
 
-pub enum LineWord {
-    Want(Wanted),
-    NeverMind {
-        key: LegKey,
-        unheard: bool,
-    },
-    Probe {
-        tag: u64,
-        load: bool,
-    },
-    CloseIdle,
-    Retire,
-    /// Look whether an answer that has begun goes on.
-    Look,
-}
-
 /// What the host's actor sees of a line.
 pub struct Line {
     mail: Arc<Mailbox<LineWord>>,
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/link.rs
@@ -0,0 +1,78 @@
+//! The way in for whoever manages a running dispatcher, from a thread of its own. Each call leaves a word in a
+//! mailbox and returns; the reply comes by a callback that must not wait.
+
+use crate::board::Seen;
+use crate::caps::Caps;
+use crate::client::Door;
+use crate::clock::Clock;
+use crate::host::Wires;
+use crate::mailbox::Mailbox;
+use crate::service::Phase;
+use crate::words::{ListWord, Survey};
+use rockflow::interface::Product;
+use rockflow_management::membership::Marks;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Words from managers that may wait at the list; more are turned away.
+const MOST_WAITING: usize = 256;
+
+#[derive(Clone)]
+pub struct Link {
+    pub clock: Clock,
+    pub name: String,
+    pub caps: Caps,
+    /// By place, with their names on the wire.
+    pub products: Vec<(String, Product)>,
+    pub locations: Vec<String>,
+    pub(crate) list: Arc<Mailbox<ListWord>>,
+    pub(crate) door: Arc<Door>,
+    pub(crate) wires: Arc<Wires>,
+    pub(crate) board: Arc<Seen>,
+    pub(crate) phase: Arc<AtomicU8>,
+}
+
+impl Link {
+    /// These marks hold in place of those before. `done` is called once the decisions go by them; false: too
+    /// much waits, and it is not.
+    pub fn mark(&self, marks: Marks, done: impl FnOnce() + Send + 'static) -> bool {
+        if self.list.len() >= MOST_WAITING {
+            return false;
+        }
+        self.list.send_urgent(ListWord::Marks { marks, done: Box::new(|()| done()) });
+        true
+    }
+
+    /// Asks for a picture; false: too much waits, and none comes.
+    pub fn survey(&self, reply: impl FnOnce(Box<Survey>) + Send + 'static) -> bool {
+        if self.list.len() >= MOST_WAITING {
+            return false;
+        }
+        self.list.send(ListWord::Survey(Box::new(reply)));
+        true
+    }
+
+    pub fn phase(&self) -> Phase {
+        let phase = self.phase.load(Ordering::Relaxed);
+        let all = [Phase::Starting, Phase::Serving, Phase::Leaving, Phase::Finishing, Phase::Over];
+        all.into_iter().find(|known| *known as u8 == phase).unwrap_or(Phase::Over)
+    }
+
+    /// The board's address, the number of its last notice, and when it was last heard.
+    pub fn board(&self) -> (SocketAddr, u64, Option<Duration>) {
+        self.board.read()
+    }
+
+    /// What is held now, beside each cap: its name, the cap, the fill.
+    pub fn fills(&self) -> Vec<(&'static str, usize, usize)> {
+        let held = self.wires.held.load(Ordering::Relaxed);
+        vec![
+            ("clients", self.caps.clients, self.door.connections()),
+            ("hosts", self.caps.hosts, self.wires.lines().len()),
+            ("held", self.caps.held, held),
+            ("module-words", self.caps.module_words, self.door.module.len()),
+        ]
+    }
+}
--- a/crates/rockflow-dispatcher/src/list.rs
+++ b/crates/rockflow-dispatcher/src/list.rs
@@ -2,28 +2,19 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
-use crate::module::Word;
+use crate::words::{id_of, Done, Entry, ListWord, Survey, Word};
 use may::coroutine;
 use rockflow::interface::*;
 use rockflow_facts::{dotted, Facts, Wiring};
+use rockflow_management::membership::Roll;
 use rockflow_protocol::board::{Flush, Instance, Lifecycle, Notice, Pool};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tracing::{info, warn};
 
-/// Names on the sockets as ids of the decisions; the same at every dispatcher.
-pub fn id_of(name: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
-}
-
-/// A host as the list has it, with what only the sockets need.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    pub name: String,
-    pub address: SocketAddr,
-    pub listing: Listing,
-}
+/// The longest wait for a mark to expire, looked at anew then.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 
 /// Reads notices by what the settings name.
 pub struct Reading {
@@ -102,30 +93,74 @@
 
 pub struct List {
     pub reading: Reading,
-    pub mail: Arc<Mailbox<Notice>>,
+    pub mail: Arc<Mailbox<ListWord>>,
     pub module: Arc<Mailbox<Word>>,
+    /// The one place where the board's word and operators' marks meet; none where nobody can mark.
+    pub roll: Option<Roll<Entry>>,
 }
 
 impl List {
-    pub fn run(&self) {
+    pub fn run(&mut self) {
         self.mail.wake_by(Wake::Park(coroutine::current()));
         loop {
-            let Some(notice) = self.mail.take() else {
-                coroutine::park();
-                continue;
-            };
-            if let Some(pool) = &notice.pool {
-                let scope = if pool.reset { ListScope::Whole } else { ListScope::Changes };
-                let entries = self.reading.pool(pool);
-                for entry in &entries {
-                    let at = &entry.listing;
-                    info!(rev = notice.rev, host = entry.name, role = ?at.role, state = ?at.readiness, "listed");
+            let now = self.reading.clock.now();
+            match self.mail.take() {
+                Some(ListWord::Notice(notice)) => self.notice(notice, now),
+                Some(ListWord::Marks { marks, done }) => {
+                    let news = self.roll.as_mut().map(|roll| roll.mark(marks, now)).unwrap_or_default();
+                    self.tell(news, Some(done));
+                }
+                Some(ListWord::Survey(reply)) => {
+                    let told = self.roll.iter().flat_map(Roll::told).cloned().collect();
+                    let survey = Box::new(Survey { told, ..Survey::default() });
+                    self.module.send(Word::Survey { survey, reply });
                 }
-                self.module.send_urgent(Word::Listed { scope, entries });
+                None => match self.roll.as_ref().and_then(|roll| roll.due(now)) {
+                    // Guards against a park without end: `may` cuts the time to whole milliseconds.
+                    Some(due) => {
+                        let wait = due.saturating_sub(now).min(LONGEST_WAIT).as_millis() as u64 + 1;
+                        coroutine::park_timeout(Duration::from_millis(wait));
+                        let news = self.roll.as_mut().map(|roll| roll.tick(self.reading.clock.now()));
+                        self.tell(news.unwrap_or_default(), None);
+                    }
+                    None => coroutine::park(),
+                },
             }
-            if let Some(flush) = notice.flush {
-                self.module.send_urgent(Word::Purged(flush));
+        }
+    }
+
+    fn notice(&mut self, notice: Notice, now: Duration) {
+        if let Some(pool) = &notice.pool {
+            let scope = if pool.reset { ListScope::Whole } else { ListScope::Changes };
+            let entries = self.reading.pool(pool);
+            for entry in &entries {
+                let at = &entry.listing;
+                info!(rev = notice.rev, host = entry.name, role = ?at.role, state = ?at.readiness, "listed");
             }
+            match &mut self.roll {
+                Some(roll) => {
+                    let news = roll.tell(pool.reset, entries, now);
+                    self.tell(news, None);
+                }
+                None => self.module.send_urgent(Word::Listed { scope, entries, done: None }),
+            }
+        }
+        if let Some(flush) = notice.flush {
+            self.module.send_urgent(Word::Purged(flush));
+        }
+    }
+
+    /// One event, so that the decisions hear of all of it or nothing.
+    fn tell(&self, entries: Vec<Entry>, done: Option<Done<()>>) {
+        if entries.is_empty() {
+            if let Some(done) = done {
+                done(());
+            }
+            return;
+        }
+        for entry in &entries {
+            info!(host = entry.name, state = ?entry.listing.readiness, "effective");
         }
+        self.module.send_urgent(Word::Listed { scope: ListScope::Changes, entries, done });
     }
 }
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -1,11 +1,10 @@
 //! The actor of the module: the only holder of the decisions. It orders events, runs timers and the legs'
 //! time limits, and carries out actions. It decides nothing.
 
-use crate::client::ClientWord;
 use crate::clock::Clock;
-use crate::host::{Host, LegKey, Order, Wanted, Wires};
-use crate::list::{id_of, Entry};
+use crate::host::{Host, Wires};
 use crate::mailbox::{Mailbox, Wake};
+use crate::words::*;
 use may::coroutine;
 use rockflow::interface::*;
 use rockflow::Dispatcher;
@@ -20,43 +19,6 @@
 use std::time::Duration;
 use tracing::{debug, error, info};
 
-/// What reaches the module.
-pub enum Word {
-    Asked {
-        query: QueryId,
-        ask: Box<Ask>,
-        client: Arc<Mailbox<ClientWord>>,
-        arrived: Duration,
-    },
-    Left(QueryId),
-    /// The program ends; whatever is unanswered by then would be lost.
-    Leaving {
-        until: Duration,
-    },
-    Answered {
-        key: LegKey,
-        answer: hostline::Answer,
-    },
-    /// A leg ended with no answer.
-    Fell {
-        key: LegKey,
-        outcome: Outcome,
-    },
-    Probed {
-        tag: u64,
-        answer: hostline::Answer,
-    },
-    ProbeFell {
-        tag: u64,
-        outcome: Outcome,
-    },
-    Listed {
-        scope: ListScope,
-        entries: Vec<Entry>,
-    },
-    Purged(Flush),
-}
-
 struct LegOut {
     host: HostId,
     /// Where its host is reached, also once that is no longer listed.
@@ -74,6 +36,8 @@
 }
 
 struct Open {
+    /// Place of the product.
+    product: usize,
     ask: Box<Ask>,
     client: Arc<Mailbox<ClientWord>>,
     ends: Duration,
@@ -126,6 +90,8 @@
     due: BinaryHeap<Reverse<(Duration, Due)>>,
     events: VecDeque<Event>,
     until: Option<Duration>,
+    /// How queries ended, by place of the product.
+    ended: Vec<Ended>,
 }
 
 impl Module {
@@ -133,6 +99,7 @@
     pub fn new(given: Given, known: Vec<Entry>, purges: Vec<Flush>) -> Self {
         let mut module = Module {
             decisions: Dispatcher::new(given.deployment.clone(), given.seed),
+            ended: vec![Ended::default(); given.products.len()],
             given,
             probes: BTreeMap::new(),
             next_probe: 0,
@@ -193,6 +160,7 @@
                 leg.never_mind((id, LegNo(no as u16)), false);
             }
             if !open.answered {
+                self.ended[open.product].terminated += 1;
                 open.client.send(ClientWord::Answer(id, Answer::Terminated));
             }
         }
@@ -216,6 +184,7 @@
                 if let Some(open) = self.open.get_mut(&query) {
                     if !std::mem::replace(&mut open.answered, true) {
                         self.calls.remove(&open.ask.call_id);
+                        self.ended[open.product].left += 1;
                     }
                     self.events.push_back(Event::ClientLeft(query));
                     self.forget(query);
@@ -236,8 +205,21 @@
                 self.end_probe(tag, if well { Outcome::Succeeded } else { Outcome::HostError }, report);
             }
             Word::ProbeFell { tag, outcome } => self.end_probe(tag, outcome, Vec::new()),
-            Word::Listed { scope, entries } => self.list(scope, entries),
+            Word::Listed { scope, entries, done } => {
+                self.list(scope, entries);
+                // Whoever waits is told once the decisions go by it.
+                self.decide();
+                if let Some(done) = done {
+                    done(());
+                }
+            }
             Word::Purged(flush) => self.purge(flush),
+            Word::Survey { mut survey, reply } => {
+                survey.views = self.decisions.views();
+                survey.ended = self.ended.clone();
+                (survey.open, survey.words) = (self.open.len(), self.given.mail.len());
+                reply(survey);
+            }
         }
     }
 
@@ -263,7 +245,7 @@
             size_kb: ask.size_kb,
         };
         self.due.push(Reverse((ends + self.given.slack / 2, Due::Outer(id))));
-        self.open.insert(id, Open { ask, client, ends, answered: false, legs: Vec::new() });
+        self.open.insert(id, Open { product, ask, client, ends, answered: false, legs: Vec::new() });
         self.events.push_back(Event::Asked(query));
     }
 
@@ -436,6 +418,12 @@
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
         self.calls.remove(&open.ask.call_id);
+        let ended = &mut self.ended[open.product];
+        match &answer {
+            Answer::Succeeded { .. } | Answer::Unchanged { .. } => ended.succeeded += 1,
+            Answer::Dismissed { .. } => ended.dismissed += 1,
+            _ => ended.terminated += 1,
+        }
         open.client.send(ClientWord::Answer(id, answer));
         self.forget(id);
     }
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -1,22 +1,25 @@
 //! The program from start to exit: its phases as named states of one object.
 
-use crate::board::{Board, BoardWord};
+use crate::board::{Board, Seen};
 use crate::caps::Caps;
 use crate::client::Door;
 use crate::clock::Clock;
 use crate::host::Wires;
+use crate::link::Link;
 use crate::list::{List, Reading};
 use crate::listener;
 use crate::mailbox::Mailbox;
-use crate::module::{Given, Module, Word};
+use crate::module::{Given, Module};
 use crate::told::{Told, Unchanging};
+use crate::words::{BoardWord, Word};
 use may::coroutine::{self, Builder};
 use may::net::TcpListener;
 use may::sync::Semphore;
+use rockflow_management::membership::{Marks, Roll};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tracing::{error, info, warn};
@@ -54,6 +57,7 @@
     board: Arc<Mailbox<BoardWord>>,
     told: Unchanging,
     board_at: SocketAddr,
+    link: Link,
 }
 
 impl Service {
@@ -63,7 +67,13 @@
     }
 
     pub fn start(told: Told) -> std::io::Result<Service> {
-        let (clock, caps) = (Clock::start(), Caps::of(&told.limits));
+        Service::start_marked(Clock::start(), told, None)
+    }
+
+    /// With operators' marks, which hold from the first query on and can be changed through `link`; none: nobody
+    /// can mark, and nothing is kept for it.
+    pub fn start_marked(clock: Clock, told: Told, marks: Option<Marks>) -> std::io::Result<Service> {
+        let caps = Caps::of(&told.limits);
         let unchanging = told.unchanging.clone();
         let (mail, list_mail) = (Mailbox::new(), Mailbox::new());
         let longest = told.facts.deployment.products.iter().map(|product| product.outer_limit).max();
@@ -85,7 +95,11 @@
             open: AtomicUsize::new(0),
         });
         let reading = Reading::new(clock, &told.facts, &told.wiring);
-        let (known, purges) = reading.known(&told.known.notices);
+        let (mut known, purges) = reading.known(&told.known.notices);
+        let mut roll = marks.map(Roll::new);
+        if let Some(roll) = &mut roll {
+            known = roll.tell(true, known, clock.now());
+        }
         info!(name = told.name, listen = %told.listen, hosts = known.len(), rev = told.known.rev, ?caps, "starting");
         let wires = Arc::new(Wires {
             clock,
@@ -101,6 +115,8 @@
             most_held: caps.held,
         });
         let looked = (door.clone(), wires.clone());
+        let products = told.wiring.products.iter().cloned();
+        let named = products.zip(told.facts.deployment.products.iter().cloned()).collect();
         let given = Given {
             clock,
             deployment: told.facts.deployment,
@@ -108,12 +124,13 @@
             seed: told.seed,
             report: told.wiring.report,
             wires,
-            ready,
+            ready: ready.clone(),
             slack: told.wiring.answer_slack,
             mail: mail.clone(),
         };
         let mut module = Module::new(given, known, purges);
-        let list = List { reading, mail: list_mail.clone(), module: mail };
+        let mut list = List { reading, mail: list_mail.clone(), module: mail, roll };
+        let seen = Seen::new(told.board, told.known.rev);
         let chance = oorandom::Rand64::new(u128::from(told.seed));
         let board_mail = Mailbox::new();
         let mut board = Board {
@@ -121,13 +138,26 @@
             address: told.board,
             last: told.known.rev,
             mail: board_mail.clone(),
-            list: list_mail,
+            list: list_mail.clone(),
+            seen: seen.clone(),
             chance,
             gap_borne: None,
             unread: None,
         };
         let listener = TcpListener::bind(told.listen)?;
         let listens_at = listener.local_addr()?;
+        let link = Link {
+            clock,
+            name: told.name,
+            caps,
+            products: named,
+            locations: told.wiring.locations,
+            list: list_mail,
+            door: door.clone(),
+            wires: looked.1.clone(),
+            board: seen,
+            phase: Arc::new(AtomicU8::new(Phase::Starting as u8)),
+        };
         let mut service = Service {
             phase: Phase::Starting,
             listens_at,
@@ -135,6 +165,7 @@
             board: board_mail.clone(),
             told: unchanging,
             board_at: told.board,
+            link,
         };
         spawn("module", BIG_STACK, move || module.run())?;
         spawn("list", BIG_STACK, move || list.run())?;
@@ -157,6 +188,12 @@
     fn enter(&mut self, phase: Phase) {
         info!(from = ?self.phase, to = ?phase, open = self.door.open.load(Ordering::Relaxed), "phase");
         self.phase = phase;
+        self.link.phase.store(phase as u8, Ordering::Relaxed);
+    }
+
+    /// A way in for whoever manages this dispatcher, from any thread.
+    pub fn link(&self) -> Link {
+        self.link.clone()
     }
 
     /// Takes a new configuration under load: the board at its new address is asked at once from the last
--- /dev/null
+++ b/crates/rockflow-dispatcher/src/words.rs
@@ -0,0 +1,196 @@
+//! The words that the dispatcher's actors exchange. Every actor uses them, and they use none of the actors.
+
+use crate::mailbox::Mailbox;
+use rockflow::interface::*;
+use rockflow_management::membership::{Marks, Member};
+use rockflow_protocol::board::{Flush, Notice};
+use rockflow_protocol::front::{Answer, Ask};
+use rockflow_protocol::hostline;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A leg as the module knows it.
+pub type LegKey = (QueryId, LegNo);
+
+/// Names on the sockets as ids of the decisions; the same at every dispatcher.
+pub fn id_of(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
+
+/// A host as the list has it, with what only the sockets need.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub listing: Listing,
+}
+
+impl Member for Entry {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn told(&self) -> Readiness {
+        self.listing.readiness
+    }
+
+    fn with(&self, readiness: Readiness) -> Self {
+        let listing = Listing { readiness, ..self.listing.clone() };
+        Entry { listing, ..self.clone() }
+    }
+}
+
+/// Called once, in the actor that has done what was asked; it must not wait.
+pub type Done<T> = Box<dyn FnOnce(T) + Send>;
+
+/// To a client's connection.
+pub enum ClientWord {
+    Answer(QueryId, Answer),
+    /// Look whether the connection has outlived its use.
+    Look,
+    /// Another needs the seat: leave it, unless a request has come by now.
+    GiveWay,
+}
+
+/// What a line is asked to carry out to its host.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    pub key: LegKey,
+    pub id: String,
+    pub line: Vec<u8>,
+    /// It names the client's copy, so that the answer may be that this one holds.
+    pub seen: bool,
+}
+
+/// To a host's actor.
+#[derive(Clone, Debug)]
+pub enum Order {
+    Want(Wanted),
+    /// `unheard`: its time was up, so that a line which has brought nothing since may be dead.
+    NeverMind {
+        key: LegKey,
+        unheard: bool,
+    },
+    Probe {
+        tag: u64,
+        load: bool,
+    },
+    /// A want that was kept back may go out now.
+    Release(LegKey),
+    CloseIdle,
+    /// The host is gone: what is out may end, nothing new comes.
+    Retire,
+    /// A line ended, with what was given to it.
+    LineOver(Vec<Fallen>),
+}
+
+/// Legs that ended with their line: what that means if the host is gone, and if it lives.
+#[derive(Clone, Debug)]
+pub struct Fallen {
+    pub legs: Vec<LegKey>,
+    pub if_gone: Outcome,
+    pub if_it_lives: Outcome,
+}
+
+/// To a connection to a host.
+pub enum LineWord {
+    Want(Wanted),
+    NeverMind {
+        key: LegKey,
+        unheard: bool,
+    },
+    Probe {
+        tag: u64,
+        load: bool,
+    },
+    CloseIdle,
+    Retire,
+    /// Look whether an answer that has begun goes on.
+    Look,
+}
+
+/// To the module.
+pub enum Word {
+    Asked {
+        query: QueryId,
+        ask: Box<Ask>,
+        client: Arc<Mailbox<ClientWord>>,
+        arrived: Duration,
+    },
+    Left(QueryId),
+    /// The program ends; whatever is unanswered by then would be lost.
+    Leaving {
+        until: Duration,
+    },
+    Answered {
+        key: LegKey,
+        answer: hostline::Answer,
+    },
+    /// A leg ended with no answer.
+    Fell {
+        key: LegKey,
+        outcome: Outcome,
+    },
+    Probed {
+        tag: u64,
+        answer: hostline::Answer,
+    },
+    ProbeFell {
+        tag: u64,
+        outcome: Outcome,
+    },
+    Listed {
+        scope: ListScope,
+        entries: Vec<Entry>,
+        /// Whoever waits till the decisions have heard of it.
+        done: Option<Done<()>>,
+    },
+    Purged(Flush),
+    /// Tell what is known of the hosts and counted of the queries, beside what the list already told.
+    Survey {
+        survey: Box<Survey>,
+        reply: Done<Box<Survey>>,
+    },
+}
+
+/// To the list.
+pub enum ListWord {
+    Notice(Notice),
+    /// These marks hold from now on, in place of those before; the reply comes once the decisions go by them.
+    Marks {
+        marks: Marks,
+        done: Done<()>,
+    },
+    Survey(Done<Box<Survey>>),
+}
+
+/// To the board's actor.
+pub enum BoardWord {
+    /// The board is at another address from now on; its numbers go on.
+    MoveTo(SocketAddr),
+    /// Look whether the board has fallen silent.
+    Look,
+}
+
+/// How queries of one product have ended since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    pub succeeded: u64,
+    pub dismissed: u64,
+    pub terminated: u64,
+    pub left: u64,
+}
+
+/// A picture of the dispatcher, for whoever looks on.
+#[derive(Clone, Debug, Default)]
+pub struct Survey {
+    /// The board's list, as told, before any mark.
+    pub told: Vec<Entry>,
+    pub views: Vec<HostView>,
+    /// By place of the product.
+    pub ended: Vec<Ended>,
+    /// Queries open, words waiting at the module.
+    pub open: usize,
+    pub words: usize,
+}
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -9,15 +9,20 @@
 //!     a closes | a ended                the client leaves; the dispatcher has closed
 //!     a within MS ...                   what follows, by then
 //!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
-//!     c gets WORD...                    a line holding all words but those after `!`; its id is remembered
+//!     c gets WORD...                    a line holding all words but those after `!`, a field below N with
+//!                                       `FIELD<N`; its id is remembered
 //!     c trails WORD...                  the same, and it comes a moment after the line that was got before
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
 //!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board
 //!     reload board2                     a configuration that names another board
+//!     mark NAME=draining|gone ... [until=MS]   operators' marks, in place of those before; the start said `marked`
+//!     wait MS                           time passes
 //!     stop | over                       a planned stop begins; it has come to its end
 
-use rockflow_dispatcher::{Phase, Service, Told};
+use rockflow::interface::Readiness;
+use rockflow_dispatcher::{Clock, Phase, Service, Told};
+use rockflow_management::membership::{Mark, Marks};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -132,7 +137,8 @@
             told.wiring.products.push("unknown".to_string());
         }
         SET_UP.call_once(Service::set_up);
-        let service = Service::start(told).unwrap();
+        let marked = words.contains(&"marked").then(Marks::new);
+        let service = Service::start_marked(Clock::start(), told, marked).unwrap();
         self.address = Some(service.listens_at());
         self.service = Some(service);
     }
@@ -167,6 +173,21 @@
                 let service = self.stopping.take().unwrap().join().unwrap();
                 assert_eq!(service.phase(), Phase::Over);
             }
+            ("mark", _) => {
+                let link = self.service.as_ref().unwrap().link();
+                let until = words.iter().find_map(|word| word.strip_prefix("until="));
+                let until = until.map(|ms| link.clock.now() + Duration::from_millis(ms.parse().unwrap()));
+                let marks = words[1..].iter().filter_map(|word| word.split_once('='));
+                let marks = marks.filter(|(name, _)| *name != "until").map(|(name, state)| {
+                    let readiness = if state == "gone" { Readiness::Gone } else { Readiness::Draining };
+                    (name.to_string(), Mark { readiness, until, force: false })
+                });
+                let (done, wait) = std::sync::mpsc::channel();
+                assert!(link.mark(marks.collect(), move || done.send(()).unwrap()));
+                wait.recv_timeout(PATIENCE).unwrap();
+            }
+            // Time itself is what the line is about: the dispatcher's clock is the system's.
+            ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ("reload", board) => {
                 let told = self.told(board, &[]);
                 self.service.as_mut().unwrap().reload(&told);
@@ -214,9 +235,15 @@
             (_, "gets") => {
                 let party = self.party(name);
                 let got = party.line();
-                let fits = |word: &&str| match word.strip_prefix('!') {
-                    Some(word) => !got.contains(word),
-                    None => got.contains(*word),
+                let fits = |word: &&str| match (word.strip_prefix('!'), word.split_once('<')) {
+                    (Some(word), _) => !got.contains(word),
+                    (_, Some((field, most))) => {
+                        let value = got
+                            .split([',', ' '])
+                            .find_map(|part| part.strip_prefix(field)?.strip_prefix('='));
+                        value.and_then(|value| value.parse::<u64>().ok()) < most.parse().ok()
+                    }
+                    _ => got.contains(*word),
                 };
                 assert!(rest.iter().all(fits), "{got:?} for {line:?}");
                 if got.starts_with("want") {
@@ -254,6 +281,8 @@
 #[test_case(include_str!("scenarios/silent-board.txt"); "silent board")]
 #[test_case(include_str!("scenarios/reload.txt"); "reload")]
 #[test_case(include_str!("scenarios/panic.txt"); "panic")]
+#[test_case(include_str!("scenarios/marks.txt"); "marks")]
+#[test_case(include_str!("scenarios/marks-expire.txt"); "marks that expire")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
     let mut play = Play {
--- a/crates/rockflow-management/src/subscription.rs
+++ b/crates/rockflow-management/src/subscription.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Whether it is owed changes as they come.
+    pub fn on_change(&self) -> bool {
+        matches!(self.trigger, Trigger::OnChange { .. })
+    }
+
     fn follows(&self, path: &Path) -> bool {
         self.patterns.iter().any(|pattern| pattern.holds(path))
     }
--- /dev/null
+++ b/crates/rockflow-operator/src/lib.rs
@@ -0,0 +1,12 @@
+//! What stands between the management datastores and the fronts that serve them: the operator's file, the desk
+//! that holds the datastores beside a running dispatcher, and the audit log. A front decodes, asks the desk, and
+//! encodes; it decides nothing.
+
+pub mod audit;
+pub mod desk;
+pub mod file;
+pub mod secrets;
+pub mod state;
+
+pub use desk::{Asker, Desk, Event, Opened};
+pub use file::{Fault, GnmiPart, ManagementPart, NetconfPart, OperatorFile, TlsPart};
--- /dev/null
+++ b/crates/rockflow-operator/src/state.rs
@@ -0,0 +1,273 @@
+//! The dispatcher's state as the model has it, from a survey and what the datastores tell of themselves.
+
+use rockflow::interface::{Effect, Readiness, Role};
+use rockflow_dispatcher::words::Survey;
+use rockflow_dispatcher::{Link, Phase};
+use rockflow_management::membership::{effective, Listed, Marks};
+use rockflow_management::{moment, Durable, Management, Surroundings};
+use rockflow_yang::{Data, Fields, NodeId, Path, Scalar, Schema, Step};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Puts values under the names of the model, which is asked for each: a leaf that it lacks is a fault of the
+/// build, found by the tests.
+pub struct Writer<'a> {
+    schema: &'a Schema,
+    at: NodeId,
+    pub fields: Fields,
+}
+
+impl<'a> Writer<'a> {
+    pub fn new(schema: &'a Schema, names: &[&str]) -> Writer<'a> {
+        let at = schema.find(names).unwrap_or_else(|| panic!("the model lacks {names:?}"));
+        Writer { schema, at, fields: Fields::new() }
+    }
+
+    fn below(&self, name: &str) -> NodeId {
+        let child = self.schema.child(Some(self.at), None, name);
+        child.unwrap_or_else(|| panic!("{} lacks {name}", self.schema.path_of(self.at)))
+    }
+
+    pub fn leaf(&mut self, name: &str, value: Scalar) {
+        self.fields.insert(self.below(name), Data::Leaf(value));
+    }
+
+    pub fn text(&mut self, name: &str, value: impl Into<String>) {
+        self.leaf(name, Scalar::Text(value.into()));
+    }
+
+    pub fn number(&mut self, name: &str, value: u64) {
+        self.leaf(name, Scalar::Unsigned(value));
+    }
+
+    pub fn maybe(&mut self, name: &str, value: Option<Scalar>) {
+        if let Some(value) = value {
+            self.leaf(name, value);
+        }
+    }
+
+    pub fn values(&mut self, name: &str, values: BTreeSet<Scalar>) {
+        if !values.is_empty() {
+            self.fields.insert(self.below(name), Data::LeafList(values));
+        }
+    }
+
+    pub fn container(&mut self, name: &str, fill: impl FnOnce(&mut Writer)) {
+        let mut inner = Writer { schema: self.schema, at: self.below(name), fields: Fields::new() };
+        fill(&mut inner);
+        self.fields.insert(inner.at, Data::Container(inner.fields));
+    }
+
+    /// A list's entries; each sets its keys.
+    pub fn list<T>(
+        &mut self,
+        name: &str,
+        entries: impl IntoIterator<Item = T>,
+        mut fill: impl FnMut(&mut Writer, T),
+    ) {
+        let at = self.below(name);
+        let mut all = BTreeMap::new();
+        for entry in entries {
+            let mut inner = Writer { schema: self.schema, at, fields: Fields::new() };
+            fill(&mut inner, entry);
+            let key = |key: &NodeId| inner.fields.get(key).and_then(Data::scalar).cloned();
+            let keys: Option<Vec<_>> = self.schema.keys(at).iter().map(key).collect();
+            all.insert(keys.unwrap_or_default(), inner.fields);
+        }
+        if !all.is_empty() {
+            self.fields.insert(at, Data::List(all));
+        }
+    }
+}
+
+fn word(readiness: Readiness) -> Scalar {
+    Scalar::text(match readiness {
+        Readiness::Ready => "ready",
+        Readiness::Draining => "draining",
+        Readiness::Gone => "gone",
+    })
+}
+
+fn moment_of(at: Duration) -> Scalar {
+    Scalar::Text(moment::write(at))
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+/// The hosts as listed, for the checks of a commit.
+pub fn surroundings(survey: &Survey) -> Surroundings {
+    let listed = survey.told.iter().map(|entry| {
+        let at = &entry.listing;
+        (entry.name.clone(), Listed { role: at.role, location: at.location.0, told: at.readiness })
+    });
+    Surroundings { hosts: listed.collect() }
+}
+
+/// `/router/state`.
+pub fn state<S: Durable>(
+    management: &Management<S>,
+    link: &Link,
+    survey: &Survey,
+    started: Duration,
+    now: Duration,
+) -> Fields {
+    let schema = management.schema();
+    let mut top = Writer::new(schema, &["router", "state"]);
+    top.text("name", &*link.name);
+    top.text("software", env!("CARGO_PKG_VERSION"));
+    let phase = match link.phase() {
+        Phase::Starting => "starting",
+        Phase::Serving => "serving",
+        Phase::Leaving => "leaving",
+        Phase::Finishing => "finishing",
+        Phase::Over => "over",
+    };
+    top.text("phase", phase);
+    top.number("up", millis(now.saturating_sub(started)));
+    top.container("hosts", |hosts| hosts_of(hosts, link, survey, &management.marks(), now));
+    top.container("products", |products| {
+        products.list("product", link.products.iter().enumerate(), |at, (place, (name, told))| {
+            at.text("name", name);
+            at.text("effect", effect(&told.effect));
+            at.number("outer-limit", millis(told.outer_limit));
+            at.number("fresh", millis(told.fresh));
+            at.number("grace", millis(told.grace));
+            let ended = survey.ended.get(place).copied().unwrap_or_default();
+            at.number("succeeded", ended.succeeded);
+            at.number("dismissed", ended.dismissed);
+            at.number("terminated", ended.terminated);
+            at.number("left", ended.left);
+        });
+    });
+    top.container("caps", |caps| {
+        let own = [("open-queries", link.caps.clients, survey.open)];
+        caps.list("cap", link.fills().into_iter().chain(own), |at, (name, limit, held)| {
+            at.text("name", name);
+            at.number("limit", limit as u64);
+            at.number("held", held as u64);
+        });
+    });
+    let (address, last, heard) = link.board();
+    top.container("board", |board| {
+        board.text("address", address.to_string());
+        board.number("last", last);
+        let age = heard.map(|heard| Scalar::Unsigned(millis(now.saturating_sub(heard))));
+        board.maybe("heard", age);
+    });
+    top.container("history", |history| history_of(history, management));
+    top.fields
+}
+
+fn effect(effect: &Effect) -> &'static str {
+    match effect {
+        Effect::Redoable => "redoable",
+        Effect::Labelled { .. } => "labelled",
+        Effect::Irreversible => "irreversible",
+    }
+}
+
+fn hosts_of(hosts: &mut Writer, link: &Link, survey: &Survey, marks: &Marks, now: Duration) {
+    let told: BTreeMap<&str, _> = survey.told.iter().map(|entry| (entry.name.as_str(), entry)).collect();
+    let views: BTreeMap<_, _> = survey.views.iter().map(|view| (view.host, view)).collect();
+    let names: BTreeSet<&str> = told.keys().copied().chain(marks.keys().map(String::as_str)).collect();
+    hosts.list("host", names, |at, name| {
+        let (entry, mark) = (told.get(name), marks.get(name));
+        at.text("name", name);
+        at.maybe("marked", mark.filter(|mark| mark.holds(now)).map(|mark| word(mark.readiness)));
+        let Some(entry) = entry else { return };
+        let listing = &entry.listing;
+        at.text("address", entry.address.to_string());
+        at.text(
+            "role",
+            match listing.role {
+                Role::Cache => "cache",
+                Role::Parent => "parent",
+                Role::Origin => "origin",
+            },
+        );
+        let location = link.locations.get(usize::from(listing.location.0));
+        at.maybe("location", location.map(|name| Scalar::text(name.as_str())));
+        at.number("cell", u64::from(listing.cell.0));
+        at.leaf("listed", word(listing.readiness));
+        if let Some((readiness, says)) = effective(Some(listing.readiness), mark, now) {
+            at.leaf("effective", word(readiness));
+            at.text("says", says.name());
+        }
+        let Some(view) = views.get(&listing.host) else { return };
+        at.number("legs-out", view.out as u64);
+        at.leaf("avoided", Scalar::Bool(view.avoided));
+        at.leaf("health", Scalar::Decimal((view.health.clamp(0.0, 1.0) * 1000.0).round() as i64, 3));
+        at.maybe("cold-until", view.cold_until.filter(|until| *until > now).map(moment_of));
+    });
+}
+
+fn history_of<S: Durable>(history: &mut Writer, management: &Management<S>) {
+    let schema = management.schema();
+    history.number("version", management.version());
+    history.container("pending", |at| {
+        if let Some((who, session, due)) = management.pending() {
+            at.text("author", &*who.user);
+            at.maybe("session", session.map(|session| Scalar::Unsigned(session.0.into())));
+            at.leaf("due", moment_of(due));
+        }
+    });
+    history.list("commit", management.history(), |at, commit| {
+        at.number("version", commit.version);
+        at.text("author", &*commit.who.user);
+        at.text("protocol", commit.who.protocol.name());
+        at.text("source", &*commit.who.source);
+        at.leaf("time", moment_of(commit.time));
+        if !commit.comment.is_empty() {
+            at.text("comment", &*commit.comment);
+        }
+        at.values("change", commit.changes.iter().map(|change| Scalar::Text(change.text(schema))).collect());
+    });
+}
+
+/// Running, with what is only known of it: who made each mark, when and with which commit.
+pub fn annotated<S: Durable>(management: &Management<S>) -> Fields {
+    let schema = management.schema();
+    let mut fields = (**management.running()).clone();
+    let names = ["router", "marks", "mark"];
+    let steps =
+        (1..=3).map(|n| schema.find(&names[..n]).unwrap_or_else(|| panic!("the model lacks {names:?}")));
+    let steps: Vec<Step> = steps.map(|node| Step { node, keys: Vec::new() }).collect();
+    let list = steps[2].node;
+    let router = fields.get_mut(&steps[0].node);
+    let Some(Data::Container(router)) = router else { return fields };
+    let Some(Data::Container(marks)) = router.get_mut(&steps[1].node) else { return fields };
+    let Some(Data::List(entries)) = marks.get_mut(&list) else { return fields };
+    for (keys, entry) in entries {
+        let path = Path(steps[..2].to_vec()).then(list, keys.clone());
+        if let Some(origin) = management.last_origin(&path) {
+            let mut at = Writer { schema, at: list, fields: Fields::new() };
+            at.text("author", &*origin.author);
+            at.leaf("made", moment_of(origin.time));
+            at.number("version", origin.version);
+            entry.extend(at.fields);
+        }
+    }
+    fields
+}
+
+/// Everything: running with its notes, and state.
+pub fn operational<S: Durable>(
+    management: &Management<S>,
+    link: &Link,
+    survey: &Survey,
+    started: Duration,
+    now: Duration,
+) -> Fields {
+    let schema = management.schema();
+    let mut fields = annotated(management);
+    let state = state(management, link, survey, started, now);
+    let (router, below) = (schema.find(&["router"]), schema.find(&["router", "state"]));
+    let (Some(router), Some(below)) = (router, below) else { return fields };
+    let inner = fields.entry(router).or_insert_with(|| Data::Container(Fields::new()));
+    if let Data::Container(inner) = inner {
+        inner.insert(below, Data::Container(state));
+    }
+    fields
+}
--- /dev/null
+++ b/crates/rockflow-operator/tests/file.rs
@@ -0,0 +1,75 @@
+//! The operator's file: what is taken, and where each fault is said to be.
+
+use rockflow_operator::file::{read, OperatorFile};
+use test_case::test_case;
+
+fn one(text: &str) -> Result<OperatorFile, Vec<rockflow_operator::Fault>> {
+    read(&[("a.ini".to_string(), text.to_string())])
+}
+
+const GOOD: &str = "[management]
+owner = ana
+store = /var/lib/rockflow
+
+[netconf]
+ssh = 127.0.0.1:1830
+host-key = /etc/rockflow/host
+authorized-keys = /etc/rockflow/keys
+message-kb = 64
+";
+
+#[test]
+fn an_absent_file_and_an_absent_section_are_parts_that_do_not_exist() {
+    assert_eq!(read(&[]).unwrap(), OperatorFile::default());
+    let file = one(GOOD).unwrap();
+    assert!(file.gnmi.is_none());
+    let netconf = file.netconf.unwrap();
+    assert_eq!((netconf.message_kb, netconf.handshakes), (64, 32));
+    assert!(netconf.tls.is_none());
+}
+
+#[test]
+fn the_example_reads() {
+    let file = one(include_str!("../../../deploy/rockflow.ini"));
+    assert_eq!(file.unwrap(), OperatorFile::default());
+}
+
+#[test]
+fn a_later_layer_holds_key_by_key() {
+    let over = "[netconf]\nmessage-kb = 128\n[management]\nrestart = startup\n";
+    let layers = [("a.ini", GOOD), ("b.ini", over)].map(|(name, text)| (name.to_string(), text.to_string()));
+    let file = read(&layers).unwrap();
+    assert_eq!(file.netconf.unwrap().message_kb, 128);
+    let management = file.management.unwrap();
+    assert!(management.separate_startup && management.owner == "ana");
+    // A fault is where the layer has it.
+    let layers = [("a.ini", GOOD), ("b.ini", "[netconf]\n\nmessage-kb = 3\n")];
+    let faults = read(&layers.map(|(name, text)| (name.to_string(), text.to_string()))).unwrap_err();
+    assert!(faults[0].to_string().starts_with("b.ini:3: [netconf] message-kb: \"3\":"), "{}", faults[0]);
+}
+
+#[test_case("[management]\nowner = ana\n[nowhere]\na = 1\n", "a.ini:3: [nowhere] no such section"; "section")]
+#[test_case("[management]\nowner = ana\nsecret = 1\n", "a.ini:3: [management] secret: no such key"; "key")]
+#[test_case("[management]\nowner = ana\n# x\nowner = ben\n", "a.ini:4: [management] owner: stands twice"; "twice")]
+#[test_case("[management]\nstore = /x\n", "a.ini:2: [management] owner: is missing"; "no owner")]
+#[test_case("[management]\nowner = ana\nrestart = never\n", "a.ini:3: [management] restart: \"never\" is neither"; "odd word")]
+#[test_case("[netconf]\nssh = 127.0.0.1:1\nhost-key = k\nauthorized-keys = f\n", "[netconf] needs a section [management]"; "no management")]
+#[test_case("[management]\nowner = ana\n[netconf]\nssh = here\nhost-key = k\nauthorized-keys = f\n", "a.ini:4: [netconf] ssh: \"here\" is no address"; "no address")]
+#[test_case("[management]\nowner = ana\n[netconf]\nssh = 127.0.0.1:1\n", "[netconf] host-key: is missing; SSH needs it"; "no key for SSH")]
+#[test_case("[management]\nowner = ana\n[netconf]\nhandshakes = 4\n", "neither ssh nor tls"; "nothing listens")]
+#[test_case("[management]\nowner = ana\n[gnmi]\nlisten = 127.0.0.1:1\nkey = k\ncertificate = c\n", "[gnmi] client-ca: is missing"; "no authority")]
+#[test_case("[management]\nowner = ana\n[gnmi]\nlisten = 127.0.0.1:1\nkey = k\ncertificate = c\nclient-ca = a\nsubscribers = 0\n", "a.ini:8: [gnmi] subscribers: \"0\":"; "out of range")]
+#[test_case("[management]\nowner = ana\n[gnmi]\nlisten = 127.0.0.1:1\nkey = k\ncertificate = c\nclient-ca = a\nsubscribers = many\n", "a.ini:8: [gnmi] subscribers: \"many\" is no whole number"; "no number")]
+#[test_case("[management\nowner = ana\n", "a.ini:"; "no INI")]
+#[test_case("stray = 1\n", "no such section"; "ahead of any section")]
+fn a_fault_names_its_line_section_and_key(text: &str, wanted: &str) {
+    let faults = one(text).unwrap_err();
+    let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert!(texts.iter().any(|text| text.contains(wanted)), "{texts:?}");
+}
+
+#[test]
+fn all_faults_come_at_once() {
+    let text = "[management]\nrestart = never\n[netconf]\nssh = x\nmessage-kb = y\n";
+    assert!(one(text).unwrap_err().len() >= 4);
+}
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -127,7 +127,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     pub host: HostId,
     pub cell: CellId,
@@ -139,6 +139,19 @@
     pub started: Option<Duration>,
 }
 
+/// What the decisions hold of a host, for whoever looks on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostView {
+    pub host: HostId,
+    pub out: usize,
+    /// Avoided for its recent failures.
+    pub avoided: bool,
+    /// The good part of its recent answers; 1 without any.
+    pub health: f64,
+    /// When it stops being cold; none: it is not.
+    pub cold_until: Option<Duration>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
     /// All hosts, as known now.
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -278,6 +278,18 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// What is held of each host. It changes nothing.
+    pub fn views(&self) -> Vec<HostView> {
+        let view = |(id, host): (&HostId, &Host)| {
+            let (good, bad) = (host.good.read(self.now), host.bad.read(self.now));
+            let started = host.listing.started.max(host.restarted);
+            let cold_until = started.map(|at| at + host.cold.ramp).filter(|_| self.share(host) < 1.0);
+            let health = if good + bad > 0.0 { good / (good + bad) } else { 1.0 };
+            HostView { host: *id, out: host.out, avoided: self.sick(*id), health, cold_until }
+        };
+        self.hosts.iter().map(view).collect()
+    }
+
     fn listed(&mut self, scope: ListScope, hosts: Vec<Listing>) {
         if scope == ListScope::Failed {
             // Guards against a lost subscription: an old list counts as told. Asked again well before.
