NETCONF over SSH and TLS at the management desk, with a client and stand-ins

Network staff manage by NETCONF; what it serves has to be the one desk's.

On loopback, with the project's own client: a drain over SSH under a load of 20 clients with no leg at the host 100 ms after the reply and no answer lost or doubled; two operators at once over both transports; strangers kept out.

--- /dev/null
+++ b/crates/rockflow-agent/src/lib.rs
@@ -0,0 +1,92 @@
+//! The management side put together. `Agent::open` reads back what lasts and binds what listens, ahead of the
+//! dispatcher; `run` starts the one thread in which all of it lives. Where the operator's file has no such
+//! section there is no agent, and nothing of it is started.
+
+use rockflow_dispatcher::{Clock, Link};
+use rockflow_management::membership::Marks;
+use rockflow_operator::desk::SetLevel;
+use rockflow_operator::{Desk, Opened, OperatorFile};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tracing::{error, info};
+
+pub struct Agent {
+    opened: Opened,
+    #[cfg(feature = "netconf")]
+    netconf: Option<rockflow_netconf::Bound>,
+}
+
+/// Where the fronts listen; none: not told, or not built in.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Addresses {
+    pub ssh: Option<SocketAddr>,
+    pub tls: Option<SocketAddr>,
+    pub gnmi: Option<SocketAddr>,
+}
+
+impl Agent {
+    /// None: the file asks for no management.
+    pub fn open(clock: Clock, file: &OperatorFile) -> Result<Option<Agent>, String> {
+        let Some(part) = &file.management else { return Ok(None) };
+        #[cfg(not(feature = "netconf"))]
+        if file.netconf.is_some() {
+            return Err("[netconf]: this program is built without it".to_string());
+        }
+        Ok(Some(Agent {
+            #[cfg(feature = "netconf")]
+            netconf: file.netconf.as_ref().map(rockflow_netconf::Bound::new).transpose()?,
+            opened: Opened::open(clock, part)?,
+        }))
+    }
+
+    /// Whether all that the file names can be used, with nothing opened for good.
+    pub fn check(file: &OperatorFile) -> Result<(), String> {
+        #[cfg(feature = "netconf")]
+        if let Some(part) = &file.netconf {
+            rockflow_netconf::Bound::check(part)?;
+        }
+        Ok(())
+    }
+
+    /// The marks that hold from the first query on.
+    pub fn marks(&self) -> Marks {
+        self.opened.marks()
+    }
+
+    pub fn addresses(&self) -> Addresses {
+        #[allow(unused_mut)]
+        let mut all = Addresses::default();
+        #[cfg(feature = "netconf")]
+        if let Some(bound) = &self.netconf {
+            (all.ssh, all.tls) = bound.addresses();
+        }
+        all
+    }
+
+    /// Starts the thread. It ends with the program: what was acknowledged is durable already.
+    pub fn run(self, link: Link, set_level: SetLevel) -> std::io::Result<Arc<Desk>> {
+        let addresses = self.addresses();
+        let desk = self.opened.desk(link, set_level);
+        info!(?addresses, "management serves");
+        let served = desk.clone();
+        #[cfg(feature = "netconf")]
+        let netconf = self.netconf;
+        std::thread::Builder::new().name("management".to_string()).spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = match runtime {
+                Ok(runtime) => runtime,
+                Err(what) => return error!(%what, "management does not run"),
+            };
+            runtime.block_on(async move {
+                #[cfg(feature = "netconf")]
+                if let Some(bound) = netconf {
+                    if let Err(what) = rockflow_netconf::Server::start(bound, served.clone()) {
+                        error!(what, "netconf does not serve");
+                    }
+                }
+                served.run().await;
+            });
+        })?;
+        Ok(desk)
+    }
+}
--- /dev/null
+++ b/crates/rockflow-agent/tests/common/mod.rs
@@ -0,0 +1,133 @@
+//! A dispatcher among stand-ins with its management on, and managers with keys.
+#![allow(dead_code)]
+
+use rockflow_agent::{Addresses, Agent};
+use rockflow_dispatcher::{Clock, Service};
+use rockflow_manage::netconf::Client;
+use rockflow_manage::Trouble;
+use rockflow_operator::{file, Desk, OperatorFile};
+use rockflow_stand_ins::{keys, Site};
+use rockflow_yang::{json, Fields, Schema};
+use std::net::SocketAddr;
+use std::sync::{Arc, Once};
+use std::time::Duration;
+
+static SET_UP: Once = Once::new();
+pub const EXAMPLE: &str = include_str!("../../../../deploy/example.json");
+
+pub struct Rig {
+    pub site: Site,
+    pub service: Service,
+    pub desk: Arc<Desk>,
+    pub addresses: Addresses,
+    pub folder: keys::Folder,
+    pub schema: Arc<Schema>,
+    pub authority: keys::Authority,
+    pub host: russh::keys::PrivateKey,
+}
+
+pub const USERS: [&str; 4] = ["root", "ana", "ben", "eve"];
+
+/// A manager's key, the same each time.
+pub fn key_of(user: &str) -> russh::keys::PrivateKey {
+    keys::ssh(user.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte)))
+}
+
+/// The operator's file of a rig: all fronts, at ports of their own.
+pub fn operator(folder: &keys::Folder, store: bool, more: &str) -> (OperatorFile, keys::Authority) {
+    let authority = keys::Authority::new("rig");
+    let (certificate, key) = authority.server();
+    folder.write("server.pem", &certificate, 0o600);
+    folder.write("server.key", &key, 0o600);
+    folder.write("ca.pem", &authority.certificate, 0o600);
+    folder.write("host", &keys::texts(&keys::ssh(1)).0, 0o600);
+    std::fs::create_dir_all(folder.file("users")).unwrap();
+    for user in USERS {
+        folder.write(&format!("users/{user}"), &keys::texts(&key_of(user)).1, 0o600);
+    }
+    let at = |name: &str| folder.file(name).display().to_string();
+    let store = if store { format!("store = {}\n", at("store")) } else { String::new() };
+    let text = format!(
+        "[management]\nowner = root\n{store}audit = {}\n[netconf]\nssh = 127.0.0.1:0\nhost-key = {}\n\
+         authorized-keys = {}\ntls = 127.0.0.1:0\ncertificate = {}\nkey = {}\nclient-ca = {}\n{more}",
+        at("audit"),
+        at("host"),
+        at("users"),
+        at("server.pem"),
+        at("server.key"),
+        at("ca.pem"),
+    );
+    (file::read(&[("rig.ini".to_string(), text)]).unwrap(), authority)
+}
+
+impl Rig {
+    pub fn start(caches: usize, parents: usize, delay: Duration) -> Rig {
+        Rig::with(caches, parents, delay, "")
+    }
+
+    pub fn with(caches: usize, parents: usize, delay: Duration, more: &str) -> Rig {
+        SET_UP.call_once(Service::set_up);
+        let folder = keys::Folder::new("rig");
+        let (file, authority) = operator(&folder, true, more);
+        let site = Site::start(caches, parents, delay);
+        let clock = Clock::start();
+        let agent = Agent::open(clock, &file).unwrap().unwrap();
+        let addresses = agent.addresses();
+        let service = Service::start_marked(clock, site.told(EXAMPLE), Some(agent.marks())).unwrap();
+        let desk = agent.run(service.link(), Box::new(|_| {})).unwrap();
+        let schema = desk.schema().clone();
+        Rig { site, service, desk, addresses, folder, schema, authority, host: keys::ssh(1) }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.service.listens_at()
+    }
+
+    pub async fn ssh(&self, user: &str) -> Client {
+        self.try_ssh(user, key_of(user)).await.unwrap()
+    }
+
+    pub async fn try_ssh(&self, user: &str, key: russh::keys::PrivateKey) -> Result<Client, Trouble> {
+        let address = self.addresses.ssh.unwrap().to_string();
+        Client::ssh(&address, user, key, self.host.public_key().clone()).await
+    }
+
+    pub fn tls_config(&self, authority: &keys::Authority, user: &str) -> Arc<rustls::ClientConfig> {
+        use rustls::pki_types::pem::PemObject;
+        let (certificate, key) = authority.client(user);
+        let mut roots = rustls::RootCertStore::empty();
+        let ca = rustls::pki_types::CertificateDer::from_pem_slice(self.authority.certificate.as_bytes());
+        roots.add(ca.unwrap()).unwrap();
+        let chain = rustls::pki_types::CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap();
+        let key = rustls::pki_types::PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = rustls::ClientConfig::builder_with_provider(provider);
+        let config = config.with_safe_default_protocol_versions().unwrap().with_root_certificates(roots);
+        Arc::new(config.with_client_auth_cert(vec![chain], key).unwrap())
+    }
+
+    pub async fn tls(&self, user: &str) -> Client {
+        let address = self.addresses.tls.unwrap().to_string();
+        Client::tls(&address, "localhost", self.tls_config(&self.authority, user)).await.unwrap()
+    }
+
+    pub fn tree(&self, value: serde_json::Value) -> Fields {
+        json::read(&self.schema, None, &value, false).unwrap()
+    }
+
+    pub fn shown(&self, fields: &Fields) -> serde_json::Value {
+        json::write(&self.schema, fields)
+    }
+
+    /// One host's state, as a manager sees it.
+    pub async fn host_state(&self, client: &mut Client, name: &str) -> serde_json::Value {
+        let path = format!("/rockflow-router:router/state/hosts/host[name='{name}']");
+        let fields = client.get(&self.schema, "operational", &[path]).await.unwrap();
+        let shown = self.shown(&fields);
+        shown["rockflow-router:router"]["state"]["hosts"]["host"][0].clone()
+    }
+}
+
+pub fn block_on<T>(part: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(part)
+}
--- /dev/null
+++ b/crates/rockflow-agent/tests/netconf.rs
@@ -0,0 +1,241 @@
+//! NETCONF against a whole dispatcher on loopback, by the project's own client.
+
+mod common;
+
+use common::{block_on, key_of, Rig};
+use rockflow_manage::Trouble;
+use rockflow_stand_ins::{keys, Load};
+use serde_json::json;
+use std::time::Duration;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn refused(ended: Result<impl Sized, Trouble>) -> (String, Option<String>, String) {
+    match ended.err().expect("a refusal") {
+        Trouble::Refused { tag, app_tag, message } => (tag, app_tag, message),
+        other => panic!("{other}"),
+    }
+}
+
+#[test]
+fn state_is_read_and_a_drain_takes_hold() {
+    let rig = Rig::start(3, 2, 2 * MS);
+    block_on(async {
+        let mut root = rig.ssh("root").await;
+        let state = rig.host_state(&mut root, "c1").await;
+        assert_eq!(state["role"], "cache");
+        assert_eq!((&state["listed"], &state["says"]), (&json!("ready"), &json!("board")));
+        let load = Load::start(rig.address(), 20, Duration::ZERO, 1);
+        tokio::time::sleep(200 * MS).await;
+        root.act(&rig.schema, "drain", &[("host", "c1"), ("reason", "disk")]).await.unwrap();
+        let replied = std::time::Instant::now();
+        tokio::time::sleep(300 * MS).await;
+        let state = rig.host_state(&mut root, "c1").await;
+        assert_eq!((&state["effective"], &state["says"]), (&json!("draining"), &json!("operator")));
+        assert_eq!(state["listed"], "ready");
+        let tally = load.stop();
+        assert!(tally.succeeded > 200, "{}", tally.succeeded);
+        assert_eq!((tally.lost, tally.doubled), (0, 0));
+        let came = rig.site.hosts["c1"].take();
+        assert!(came.len() > 10);
+        let late = came.iter().filter_map(|leg| leg.at.checked_duration_since(replied)).max();
+        assert!(late.unwrap_or_default() < 100 * MS, "{late:?}");
+        // A parent drains as a source: no leg names it any more.
+        root.act(&rig.schema, "drain", &[("host", "p1")]).await.unwrap();
+        let replied = std::time::Instant::now();
+        let load = Load::start(rig.address(), 5, Duration::ZERO, 2);
+        tokio::time::sleep(200 * MS).await;
+        load.stop();
+        let came = ["c2", "c3"].into_iter().flat_map(|name| rig.site.hosts[name].take());
+        let late = came.filter(|leg| leg.at > replied + 20 * MS && leg.source.as_deref() == Some("p1"));
+        assert_eq!(late.count(), 0);
+        root.act(&rig.schema, "undrain", &[("host", "c1")]).await.unwrap();
+        assert_eq!(rig.host_state(&mut root, "c1").await["effective"], "ready");
+        // Who said it, and when, is told beside the mark; the audit has a line for each commit.
+        let marks =
+            root.get(&rig.schema, "operational", &["/rockflow-router:router/marks".into()]).await.unwrap();
+        let mark = &rig.shown(&marks)["rockflow-router:router"]["marks"]["mark"][0];
+        assert_eq!(
+            (&mark["host"], &mark["author"], &mark["version"]),
+            (&json!("p1"), &json!("root"), &json!("2"))
+        );
+        let audit = std::fs::read_to_string(rig.folder.file("audit")).unwrap();
+        assert_eq!(audit.lines().count(), 3);
+        assert!(audit.lines().next().unwrap().contains("\"protocol\":\"netconf-ssh\""), "{audit}");
+    });
+}
+
+#[test]
+fn the_last_of_a_location_is_not_drained_without_force() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.tls("root").await;
+        root.act(&rig.schema, "drain", &[("host", "c1")]).await.unwrap();
+        let (tag, app, message) = refused(root.act(&rig.schema, "drain", &[("host", "c2")]).await);
+        assert_eq!((tag.as_str(), app.as_deref()), ("operation-failed", Some("none-left")));
+        assert!(message.contains("c2") && message.contains("force"), "{message}");
+        let (tag, ..) = refused(root.act(&rig.schema, "drain", &[("host", "p1")]).await);
+        assert_eq!(tag, "operation-failed");
+        root.act(&rig.schema, "drain", &[("host", "c2"), ("force", "true")]).await.unwrap();
+        assert_eq!(rig.host_state(&mut root, "c2").await["effective"], "draining");
+    });
+}
+
+fn mark(host: &str, reason: &str) -> serde_json::Value {
+    json!({"rockflow-router:router": {"marks": {"mark": [{"host": host, "reason": reason}]}}})
+}
+
+#[test]
+fn two_operators_edit_at_once() {
+    let rig = Rig::start(3, 1, MS);
+    block_on(async {
+        let mut root = rig.ssh("root").await;
+        let rules = json!({"rockflow-router:router": {"rockflow-access:access": {
+            "rule": [{"number": 1, "group": ["all"], "action": "permit"}]}}});
+        root.edit(&rig.schema, &rig.tree(rules)).await.unwrap();
+        root.commit(None, None, None).await.unwrap();
+        let (mut ana, mut ben) = (rig.ssh("ana").await, rig.tls("ben").await);
+        ana.edit(&rig.schema, &rig.tree(mark("c1", "disk"))).await.unwrap();
+        ben.edit(&rig.schema, &rig.tree(mark("c1", "fan"))).await.unwrap();
+        // The first commits to be confirmed, and the second waits for it.
+        ana.commit(Some(Duration::from_secs(60)), None, None).await.unwrap();
+        let (tag, _, message) = refused(ben.commit(None, None, None).await);
+        assert_eq!(tag, "in-use");
+        assert!(message.contains("ana"), "{message}");
+        assert_eq!(rig.host_state(&mut root, "c1").await["effective"], "draining");
+        // Its connection dies before the confirmation: undone, and the second goes on.
+        drop(ana);
+        let undone = async {
+            while rig.host_state(&mut root, "c1").await["effective"] != "ready" {
+                tokio::time::sleep(5 * MS).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), undone).await.unwrap();
+        ben.commit(None, None, None).await.unwrap();
+        assert_eq!(rig.host_state(&mut root, "c1").await["effective"], "draining");
+        // One winner, and the other hears who it was.
+        let mut ana = rig.ssh("ana").await;
+        ana.edit(&rig.schema, &rig.tree(mark("c2", "ana's"))).await.unwrap();
+        ben.edit(&rig.schema, &rig.tree(mark("c2", "ben's"))).await.unwrap();
+        ben.commit(None, None, None).await.unwrap();
+        let (tag, app, message) = refused(ana.commit(None, None, None).await);
+        assert_eq!((tag.as_str(), app.as_deref()), ("operation-failed", Some("conflict")));
+        assert!(message.contains("by ben in commit"), "{message}");
+        // A lock's holder that is killed leaves nothing locked.
+        ana.call("<discard-changes/>").await.unwrap();
+        ana.call("<lock><target><running/></target></lock>").await.unwrap();
+        let (tag, _, message) = refused(ben.call("<lock><target><running/></target></lock>").await);
+        assert_eq!(tag, "lock-denied");
+        assert!(message.contains(&ana.session.to_string()), "{message}");
+        root.call(&format!("<kill-session><session-id>{}</session-id></kill-session>", ana.session))
+            .await
+            .unwrap();
+        ben.call("<lock><target><running/></target></lock>").await.unwrap();
+        assert!(ana.call("<get-config><source><running/></source></get-config>").await.is_err());
+    });
+}
+
+#[test]
+fn who_may_not_is_refused_and_who_is_not_known_stays_out() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut eve = rig.ssh("eve").await;
+        let (tag, ..) = refused(eve.act(&rig.schema, "drain", &[("host", "c1")]).await);
+        assert_eq!(tag, "access-denied");
+        let (tag, ..) = refused(eve.edit(&rig.schema, &rig.tree(mark("c1", "x"))).await);
+        assert_eq!(tag, "access-denied");
+        assert_eq!(rig.host_state(&mut eve, "c1").await["effective"], "ready");
+        // Another's key, no file, a path for a name, a certificate of another authority, another host key.
+        assert!(matches!(rig.try_ssh("root", key_of("eve")).await, Err(Trouble::Trust(_))));
+        assert!(matches!(rig.try_ssh("nobody", key_of("eve")).await, Err(Trouble::Trust(_))));
+        assert!(matches!(rig.try_ssh("../users/eve", key_of("eve")).await, Err(Trouble::Trust(_))));
+        let other = keys::Authority::new("other");
+        let address = rig.addresses.tls.unwrap().to_string();
+        let config = rig.tls_config(&other, "root");
+        let tried = rockflow_manage::netconf::Client::tls(&address, "localhost", config).await;
+        assert!(tried.is_err());
+        let address = rig.addresses.ssh.unwrap().to_string();
+        let host = keys::ssh(99).public_key().clone();
+        let tried = rockflow_manage::netconf::Client::ssh(&address, "root", key_of("root"), host).await;
+        assert!(matches!(tried, Err(Trouble::Trust(_))));
+    });
+}
+
+#[test]
+fn schemas_filters_defaults_and_monitoring_are_served() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.ssh("root").await;
+        for (name, text) in rockflow_yang::PUBLISHED {
+            let call = format!(
+                "<get-schema xmlns=\"{}\"><identifier>{name}</identifier></get-schema>",
+                rockflow_netconf::ns::MONITORING
+            );
+            assert_eq!(root.call(&call).await.unwrap().word("data"), Some(text.trim()));
+        }
+        root.act(&rig.schema, "drain", &[("host", "c1"), ("reason", "a < b & \"c\"")]).await.unwrap();
+        let ns = "xmlns=\"urn:rockflow:yang:router\"";
+        let get = |filter: &str| {
+            format!("<get-config><source><running/></source><filter>{filter}</filter></get-config>")
+        };
+        let marks = |inner: &str| get(&format!("<router {ns}><marks><mark>{inner}</mark></marks></router>"));
+        let found = root.call(&marks("<host>c1</host><reason/>")).await.unwrap();
+        let mark = found.child("data").unwrap().children[0].children[0].children[0].clone();
+        assert_eq!(mark.word("reason"), Some("a < b & \"c\""));
+        assert!(mark.child("state").is_none());
+        let found = root.call(&marks("<host>c2</host>")).await.unwrap();
+        assert!(found.child("data").unwrap().children.is_empty());
+        let found = root
+            .call("<get-config><source><running/></source><with-defaults xmlns=\"urn:ietf:params:xml:ns:yang:ietf-netconf-with-defaults\">report-all-tagged</with-defaults></get-config>")
+            .await
+            .unwrap();
+        let router = &found.child("data").unwrap().children[0];
+        let level = router.child("logging").unwrap().child("level").unwrap();
+        assert_eq!(
+            (level.text(), level.attribute(rockflow_netconf::ns::DEFAULT_TAG, "default")),
+            ("info", Some("true"))
+        );
+        let found = root
+            .call("<get><filter><netconf-state xmlns=\"urn:ietf:params:xml:ns:yang:ietf-netconf-monitoring\"><sessions/></netconf-state></filter></get>")
+            .await
+            .unwrap();
+        let sessions =
+            found.child("data").unwrap().child("netconf-state").unwrap().child("sessions").unwrap();
+        assert_eq!(sessions.children[0].word("username"), Some("root"));
+        let (tag, ..) =
+            refused(root.call("<get-config><source><url>file:///etc</url></source></get-config>").await);
+        assert_eq!(tag, "operation-not-supported");
+        let (tag, ..) = refused(root.call("<reboot/>").await);
+        assert_eq!(tag, "operation-not-supported");
+    });
+}
+
+#[test]
+fn events_and_changes_are_told_to_followers() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let (mut root, mut watch, mut push) =
+            (rig.ssh("root").await, rig.tls("ana").await, rig.ssh("ben").await);
+        watch.events().await.unwrap();
+        let path = "/rockflow-router:router/state/hosts/host/effective".to_string();
+        push.follow(&[path], None).await.unwrap();
+        let first = push.notification().await.unwrap();
+        assert_eq!(first.children[1].name, "push-update");
+        root.act(&rig.schema, "drain", &[("host", "c1")]).await.unwrap();
+        let wait = Duration::from_secs(5);
+        let changed = tokio::time::timeout(wait, push.notification()).await.unwrap().unwrap();
+        let edit =
+            &changed.child("push-change-update").unwrap().child("datastore-changes").unwrap().children[0];
+        let edit = edit.child("edit").unwrap();
+        assert!(edit.word("target").unwrap().contains("host[name='c1']/effective"), "{edit:?}");
+        assert_eq!(edit.child("value").unwrap().children[0].text(), "draining");
+        let mut told = Vec::new();
+        while !told.contains(&"host-changed".to_string()) {
+            let event = tokio::time::timeout(wait, watch.notification()).await.unwrap().unwrap();
+            told.push(event.children[1].name.clone());
+        }
+        assert!(
+            told.contains(&"netconf-config-change".to_string()) && told.contains(&"committed".to_string())
+        );
+    });
+}
--- /dev/null
+++ b/crates/rockflow-netconf/src/codec.rs
@@ -0,0 +1,261 @@
+//! Trees of values as XML (RFC 7950), and edits from it (RFC 6241, section 7.2).
+
+use crate::ns;
+use crate::xml::{Element, Writer};
+use rockflow_management::{Fault, Tag};
+use rockflow_yang::{Data, Edit, Fields, Keys, Kind, NodeId, Op, Path, Scalar, Schema};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is told beside the values.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Notes {
+    /// Values that are the default's bear `wd:default` (RFC 6243, report-all-tagged).
+    pub tag_defaults: bool,
+    /// Where each part comes from (RFC 8526, with-origin).
+    pub origin: bool,
+}
+
+/// The values below `parent`, as its content.
+pub fn write(schema: &Schema, fields: &Fields, parent: Option<NodeId>, notes: Notes, out: &mut Writer) {
+    for (id, data) in fields {
+        let node = schema.node(*id);
+        let own = parent.is_none_or(|parent| schema.node(parent).module != node.module);
+        let mut attributes: Vec<(&str, &str)> = Vec::new();
+        if own {
+            attributes.push(("xmlns", &schema.module_of(*id).namespace));
+        }
+        if notes.origin && node.config && own {
+            attributes.extend([("xmlns:or", ns::ORIGIN), ("or:origin", "or:intended")]);
+        }
+        match data {
+            Data::Leaf(value) => {
+                if notes.tag_defaults && schema.default_of(*id) == Some(value) {
+                    attributes.extend([("xmlns:wd", ns::DEFAULT_TAG), ("wd:default", "true")]);
+                }
+                out.leaf(&node.name, &attributes, &value.to_string());
+            }
+            Data::LeafList(values) => {
+                values.iter().for_each(|value| out.leaf(&node.name, &attributes, &value.to_string()))
+            }
+            Data::Container(inner) => {
+                out.open(&node.name, &attributes);
+                write(schema, inner, Some(*id), notes, out);
+                out.close(&node.name);
+            }
+            Data::List(entries) => {
+                for (keys, inner) in entries {
+                    out.open(&node.name, &attributes);
+                    // Keys come first (RFC 7950, section 7.8.5).
+                    for (key, value) in schema.keys(*id).iter().zip(keys) {
+                        out.leaf(&schema.node(*key).name, &[], &value.to_string());
+                    }
+                    let rest = inner.iter().filter(|(child, _)| !schema.is_key(**child));
+                    let rest = rest.map(|(child, data)| (*child, data.clone())).collect();
+                    write(schema, &rest, Some(*id), notes, out);
+                    out.close(&node.name);
+                }
+            }
+        }
+    }
+}
+
+/// The node that an element names below `parent`.
+pub fn node_of(schema: &Schema, parent: Option<NodeId>, element: &Element) -> Result<NodeId, Fault> {
+    let module = schema.modules().iter().position(|module| module.namespace == element.ns);
+    let Some(module) = module else {
+        let message = format!("{}: no such namespace", element.ns);
+        return Err(Fault::new(Tag::UnknownNamespace, message).element(&element.name));
+    };
+    let module = rockflow_yang::ModuleId(module as u8);
+    schema.child(parent, Some(module), &element.name).ok_or_else(|| {
+        Fault::new(Tag::UnknownElement, format!("{}: no such node", element.name)).element(&element.name)
+    })
+}
+
+fn scalar(schema: &Schema, node: NodeId, element: &Element, path: &Path) -> Result<Scalar, Fault> {
+    let of = schema.type_of(node);
+    let of = of.ok_or_else(|| Fault::new(Tag::InvalidValue, "holds no value").at(path))?;
+    if !element.children.is_empty() {
+        return Err(Fault::new(Tag::UnknownElement, "a value is wanted").at(path).element(&element.name));
+    }
+    let text = if matches!(of, rockflow_yang::Type::Text { .. }) { &element.text } else { element.text() };
+    of.read(text).map_err(|what| {
+        let message = format!("{}: {what}", element.name);
+        Fault::new(Tag::InvalidValue, message).at(path).element(&element.name)
+    })
+}
+
+/// The keys of an entry, each told once.
+fn keys_of(schema: &Schema, list: NodeId, element: &Element, path: &Path) -> Result<Keys, Fault> {
+    let key = |key: &NodeId| {
+        let name = &schema.node(*key).name;
+        let mut told = element.children.iter().filter(|child| child.name == *name);
+        let (Some(child), None) = (told.next(), told.next()) else {
+            let message = format!("the key {name} must stand once");
+            return Err(Fault::new(Tag::MissingElement, message).at(path).element(name));
+        };
+        scalar(schema, *key, child, path)
+    };
+    schema.keys(list).iter().map(key).collect()
+}
+
+/// Reads content as values, all of one operation. `state`: what can't be written is read too.
+pub fn read(
+    schema: &Schema,
+    parent: Option<NodeId>,
+    elements: &[Element],
+    at: &Path,
+    state: bool,
+) -> Result<Fields, Fault> {
+    let mut fields = Fields::new();
+    for element in elements {
+        let id = node_of(schema, parent, element)?;
+        let node = schema.node(id);
+        let here = at.then(id, Vec::new());
+        if !state && !node.config {
+            return Err(Fault::new(Tag::InvalidValue, "is state, which can't be written").at(&here));
+        }
+        let twice = || Fault::new(Tag::BadElement, "stands twice").at(&here).element(&element.name);
+        match &node.kind {
+            Kind::Leaf { .. } => {
+                let value = scalar(schema, id, element, &here)?;
+                if fields.insert(id, Data::Leaf(value)).is_some() {
+                    return Err(twice());
+                }
+            }
+            Kind::LeafList { .. } => {
+                let value = scalar(schema, id, element, &here)?;
+                let values = fields.entry(id).or_insert_with(|| Data::LeafList(BTreeSet::new()));
+                let Data::LeafList(values) = values else { return Err(twice()) };
+                if !values.insert(value) {
+                    return Err(twice());
+                }
+            }
+            Kind::List { .. } => {
+                let keys = keys_of(schema, id, element, &here)?;
+                let entry = at.then(id, keys.clone());
+                let inner = read(schema, Some(id), &element.children, &entry, state)?;
+                let entries = fields.entry(id).or_insert_with(|| Data::List(BTreeMap::new()));
+                let Data::List(entries) = entries else { return Err(twice()) };
+                if entries.insert(keys, inner).is_some() {
+                    return Err(twice());
+                }
+            }
+            _ => {
+                let inner = read(schema, Some(id), &element.children, &here, state)?;
+                if fields.insert(id, Data::Container(inner)).is_some() {
+                    return Err(twice());
+                }
+            }
+        }
+    }
+    Ok(fields)
+}
+
+/// Reads the content of `<config>` as edits, in their order.
+pub fn edits(schema: &Schema, config: &Element, default: Op) -> Result<Vec<Edit>, Fault> {
+    let mut edits = Vec::new();
+    children(schema, None, config, &Path::default(), default, &mut edits)?;
+    Ok(edits)
+}
+
+fn operation(element: &Element, otherwise: Op, path: &Path) -> Result<(Op, bool), Fault> {
+    let op = match element.attribute(ns::BASE, "operation") {
+        None => return Ok((otherwise, false)),
+        Some("merge") => Op::Merge,
+        Some("replace") => Op::Replace,
+        Some("create") => Op::Create,
+        Some("delete") => Op::Delete,
+        Some("remove") => Op::Remove,
+        Some(other) => {
+            let message = format!("{other}: no such operation");
+            return Err(Fault::new(Tag::BadAttribute, message).at(path).element(&element.name));
+        }
+    };
+    Ok((op, true))
+}
+
+fn children(
+    schema: &Schema,
+    parent: Option<NodeId>,
+    element: &Element,
+    at: &Path,
+    op: Op,
+    edits: &mut Vec<Edit>,
+) -> Result<(), Fault> {
+    for child in &element.children {
+        one(schema, parent, child, at, op, edits)?;
+    }
+    Ok(())
+}
+
+fn one(
+    schema: &Schema,
+    parent: Option<NodeId>,
+    element: &Element,
+    at: &Path,
+    above: Op,
+    edits: &mut Vec<Edit>,
+) -> Result<(), Fault> {
+    let id = node_of(schema, parent, element)?;
+    let kind = &schema.node(id).kind;
+    let keys = match kind {
+        Kind::List { .. } => keys_of(schema, id, element, &at.then(id, Vec::new()))?,
+        Kind::LeafList { .. } => vec![scalar(schema, id, element, &at.then(id, Vec::new()))?],
+        _ => Vec::new(),
+    };
+    let path = at.then(id, keys);
+    let (op, _) = operation(element, above, &path)?;
+    let whole = matches!(op, Op::Replace | Op::Create);
+    let value = match kind {
+        Kind::Leaf { .. } if matches!(op, Op::Delete | Op::Remove) => None,
+        Kind::Leaf { .. } => Some(Data::Leaf(scalar(schema, id, element, &path)?)),
+        Kind::LeafList { .. } => None,
+        Kind::Container | Kind::List { .. } if whole => {
+            plain(&element.children, &path)?;
+            Some(Data::Container(read(schema, Some(id), &element.children, &path, false)?))
+        }
+        Kind::Container | Kind::List { .. } => None,
+        _ => return Err(Fault::new(Tag::UnknownElement, "no configuration").element(&element.name)),
+    };
+    let leaf = matches!(kind, Kind::Leaf { .. } | Kind::LeafList { .. });
+    match op {
+        // Nothing is asked of a leaf that only shows the way.
+        Op::Expect if leaf => {}
+        // A container is there where anything in it is; entries are there by themselves.
+        Op::Merge | Op::Expect if matches!(kind, Kind::Container) => {
+            children(schema, Some(id), element, &path, op, edits)?;
+        }
+        Op::Merge | Op::Expect if !leaf => {
+            let value = (op == Op::Merge).then(|| Data::Container(Fields::new()));
+            edits.push(Edit { path: path.clone(), op, value });
+            for child in &element.children {
+                let inner = node_of(schema, Some(id), child)?;
+                if !schema.is_key(inner) {
+                    one(schema, Some(id), child, &path, op, edits)?;
+                } else if operation(child, Op::Merge, &path)?.1 {
+                    let message = "a key bears no operation of its own";
+                    return Err(Fault::new(Tag::BadAttribute, message).at(&path).element(&child.name));
+                }
+            }
+        }
+        _ => {
+            edits.push(Edit { path, op, value });
+        }
+    }
+    Ok(())
+}
+
+/// Guards against an operation within what is replaced or created as a whole, which would have no clear order.
+fn plain(elements: &[Element], path: &Path) -> Result<(), Fault> {
+    for element in elements {
+        if let Some(op) = element.attribute(ns::BASE, "operation") {
+            if !matches!(op, "merge" | "replace" | "create") {
+                let message = format!("{op} within what is replaced or created as a whole");
+                return Err(Fault::new(Tag::BadAttribute, message).at(path).element(&element.name));
+            }
+        }
+        plain(&element.children, path)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/rockflow-netconf/src/server.rs
@@ -0,0 +1,146 @@
+//! Listeners, and what they let in: so many peers at once that have not proved who they are, and sessions as the
+//! desk has room for.
+
+use crate::monitoring::Counts;
+use crate::rpc;
+use crate::session::{self, Bounds};
+use crate::ssh::{self, Ssh};
+use rockflow_management::{Operator, Protocol};
+use rockflow_operator::{secrets, Desk, NetconfPart};
+use std::net::{SocketAddr, TcpListener as Listener};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_rustls::TlsAcceptor;
+use tracing::{info, warn};
+
+/// After a failed accept, for example with no descriptor left.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Bound and read, ahead of the thread that serves: what is wrong is known at the start.
+pub struct Bound {
+    part: NetconfPart,
+    ssh: Option<(Listener, Arc<russh::server::Config>)>,
+    tls: Option<(Listener, TlsAcceptor)>,
+}
+
+impl Bound {
+    pub fn new(part: &NetconfPart) -> Result<Bound, String> {
+        let listen = |address: SocketAddr| {
+            let fault = |what: std::io::Error| format!("netconf {address}: {what}");
+            let listener = Listener::bind(address).map_err(fault)?;
+            listener.set_nonblocking(true).map_err(fault)?;
+            Ok::<_, String>(listener)
+        };
+        let ssh = match (part.ssh, &part.host_key, &part.authorized_keys) {
+            (Some(address), Some(key), Some(folder)) => {
+                secrets::judge(folder, false)?;
+                let config = ssh::config(ssh::host_key(key)?);
+                Some((listen(address)?, config))
+            }
+            _ => None,
+        };
+        let tls = match &part.tls {
+            Some(tls) => {
+                let acceptor = TlsAcceptor::from(secrets::server(tls, &[])?);
+                Some((listen(tls.listen)?, acceptor))
+            }
+            None => None,
+        };
+        Ok(Bound { part: part.clone(), ssh, tls })
+    }
+
+    /// Whether the keys and certificates can be used.
+    pub fn check(part: &NetconfPart) -> Result<(), String> {
+        if let (Some(key), Some(folder)) = (&part.host_key, &part.authorized_keys) {
+            secrets::judge(folder, false)?;
+            ssh::host_key(key)?;
+        }
+        part.tls.as_ref().map(|tls| secrets::server(tls, &[])).transpose()?;
+        Ok(())
+    }
+
+    /// Where SSH and TLS listen.
+    pub fn addresses(&self) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let at = |listener: &Listener| listener.local_addr().ok();
+        (
+            self.ssh.as_ref().and_then(|(listener, _)| at(listener)),
+            self.tls.as_ref().and_then(|(listener, _)| at(listener)),
+        )
+    }
+}
+
+pub struct Server;
+
+impl Server {
+    /// Serves as long as the runtime does that this is called in.
+    pub fn start(bound: Bound, desk: Arc<Desk>) -> Result<(), String> {
+        let Bound { part, ssh, tls } = bound;
+        let bounds = Bounds {
+            message: part.message_kb as usize * 1024,
+            hello: Duration::from_secs(part.handshake_seconds.into()),
+        };
+        let started = desk.now();
+        let server = Arc::new(rpc::Server { desk, counts: Counts::default(), started });
+        let handshakes = Arc::new(Semaphore::new(part.handshakes as usize));
+        if let (Some((listener, config)), Some(keys)) = (ssh, part.authorized_keys) {
+            let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
+            let ssh = Arc::new(Ssh { server: server.clone(), keys, bounds, config });
+            let handshakes = handshakes.clone();
+            tokio::spawn(accept(listener, handshakes, move |stream, from, permit| {
+                tokio::spawn(ssh::serve(ssh.clone(), stream, from, permit));
+            }));
+        }
+        if let Some((listener, acceptor)) = tls {
+            let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
+            tokio::spawn(accept(listener, handshakes, move |stream, from, permit| {
+                let (acceptor, server) = (acceptor.clone(), server.clone());
+                tokio::spawn(async move {
+                    let shaken = tokio::time::timeout(bounds.hello, acceptor.accept(stream)).await;
+                    drop(permit);
+                    let stream = match shaken {
+                        Ok(Ok(stream)) => stream,
+                        Ok(Err(what)) => return info!(%from, %what, "tls handshake"),
+                        Err(_) => return info!(%from, "tls handshake not done in time"),
+                    };
+                    let certificates = stream.get_ref().1.peer_certificates();
+                    let user = certificates.and_then(|all| secrets::user_of(all.first()?));
+                    let Some(user) = user else {
+                        return info!(%from, "the certificate names no user");
+                    };
+                    let source = from.ip().to_string();
+                    let who = Operator { user, protocol: Protocol::NetconfTls, source };
+                    session::run(server, who, stream, bounds).await;
+                });
+            }));
+        }
+        Ok(())
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    handshakes: Arc<Semaphore>,
+    serve: impl Fn(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit),
+) {
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(come) => come,
+            Err(what) => {
+                warn!(%what, "netconf accept");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        // Guards against handshakes by the hundred: past the cap a connection ends at once, so that those who
+        // can prove who they are need not wait behind it.
+        match handshakes.clone().try_acquire_owned() {
+            Ok(permit) => {
+                let _ = stream.set_nodelay(true);
+                serve(stream, from, permit);
+            }
+            Err(_) => info!(%from, "too many handshakes at once"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rockflow-netconf/src/ssh.rs
@@ -0,0 +1,197 @@
+//! NETCONF over SSH (RFC 6242): the subsystem `netconf`, for those whose public keys lie in the operator's
+//! folder. Nothing else of SSH is offered.
+
+use crate::rpc::Server;
+use crate::session::{self, Bounds};
+use rockflow_management::{Operator, Protocol};
+use rockflow_operator::secrets;
+use russh::keys::ssh_key::{AuthorizedKeys, PublicKey};
+use russh::keys::PrivateKey;
+use russh::server::{Auth, ChannelOpenHandle, Handler, Msg, Session, VerifiedPublicKey};
+use russh::{Channel, ChannelId, MethodKind, MethodSet};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tracing::{info, warn};
+
+/// Sessions on one connection.
+const MOST_CHANNELS: usize = 8;
+const MOST_TRIES: usize = 6;
+
+pub fn host_key(path: &Path) -> Result<PrivateKey, String> {
+    let text = secrets::read(path, true)?;
+    let text = String::from_utf8(text).map_err(|_| format!("{}: not text", path.display()))?;
+    russh::keys::decode_secret_key(&text, None).map_err(|what| format!("{}: {what}", path.display()))
+}
+
+/// What the connections share.
+pub struct Ssh {
+    pub server: Arc<Server>,
+    pub keys: PathBuf,
+    pub bounds: Bounds,
+    pub config: Arc<russh::server::Config>,
+}
+
+pub fn config(key: PrivateKey) -> Arc<russh::server::Config> {
+    Arc::new(russh::server::Config {
+        keys: vec![key],
+        methods: MethodSet::from(&[MethodKind::PublicKey][..]),
+        auth_rejection_time: Duration::from_millis(300),
+        auth_rejection_time_initial: Some(Duration::ZERO),
+        max_auth_attempts: MOST_TRIES,
+        // Silent sessions are the desk's matter; dead connections are found by these.
+        inactivity_timeout: None,
+        keepalive_interval: Some(Duration::from_secs(30)),
+        keepalive_max: 3,
+        // What one channel may have on its way to us unread.
+        window_size: 64 * 1024,
+        maximum_packet_size: 32 * 1024,
+        channel_buffer_size: 8,
+        nodelay: true,
+        ..russh::server::Config::default()
+    })
+}
+
+/// Whether the key lies in the user's file. A user's name is a file's name, and nothing more of a path.
+pub fn authorized(folder: &Path, user: &str, key: &PublicKey) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'@');
+    if user.is_empty() || user.len() > 64 || user.starts_with('.') || !user.bytes().all(plain) {
+        return false;
+    }
+    let path = folder.join(user);
+    if !path.exists() {
+        return false;
+    }
+    let text = match secrets::read(&path, false).map(String::from_utf8) {
+        Ok(Ok(text)) => text,
+        Ok(Err(_)) => return false,
+        Err(what) => {
+            warn!(what, "keys not used");
+            return false;
+        }
+    };
+    AuthorizedKeys::new(&text)
+        .filter_map(Result::ok)
+        .any(|entry| entry.public_key().key_data() == key.key_data())
+}
+
+struct Peer {
+    ssh: Arc<Ssh>,
+    from: SocketAddr,
+    user: Option<String>,
+    /// Told once the peer has proved who it is.
+    proved: Option<oneshot::Sender<()>>,
+    channels: BTreeMap<ChannelId, Channel<Msg>>,
+    sessions: usize,
+}
+
+impl Handler for Peer {
+    type Error = russh::Error;
+
+    async fn auth_publickey(&mut self, user: &str, key: VerifiedPublicKey<'_>) -> Result<Auth, Self::Error> {
+        if authorized(&self.ssh.keys, user, key.public_key) {
+            self.user = Some(user.to_string());
+            return Ok(Auth::Accept);
+        }
+        info!(user = user.chars().take(64).collect::<String>(), from = %self.from, "key not known");
+        Ok(Auth::reject())
+    }
+
+    async fn auth_succeeded(&mut self, _: &mut Session) -> Result<(), Self::Error> {
+        if let Some(proved) = self.proved.take() {
+            let _ = proved.send(());
+        }
+        Ok(())
+    }
+
+    async fn channel_open_session(
+        &mut self,
+        channel: Channel<Msg>,
+        reply: ChannelOpenHandle,
+        _: &mut Session,
+    ) -> Result<(), Self::Error> {
+        if self.channels.len() + self.sessions >= MOST_CHANNELS {
+            reply.reject(russh::ChannelOpenFailure::ResourceShortage).await;
+            return Ok(());
+        }
+        self.channels.insert(channel.id(), channel);
+        reply.accept().await;
+        Ok(())
+    }
+
+    async fn subsystem_request(
+        &mut self,
+        id: ChannelId,
+        name: &str,
+        session: &mut Session,
+    ) -> Result<(), Self::Error> {
+        let (Some(channel), Some(user), "netconf") = (self.channels.remove(&id), &self.user, name) else {
+            session.channel_failure(id)?;
+            return Ok(());
+        };
+        session.channel_success(id)?;
+        self.sessions += 1;
+        let who = Operator {
+            user: user.clone(),
+            protocol: Protocol::NetconfSsh,
+            source: self.from.ip().to_string(),
+        };
+        let (server, bounds) = (self.ssh.server.clone(), self.ssh.bounds);
+        tokio::spawn(async move {
+            session::run(server, who, channel.into_stream(), bounds).await;
+        });
+        Ok(())
+    }
+}
+
+/// Serves one connection. The permit is one of those for peers that have not proved who they are.
+pub async fn serve(ssh: Arc<Ssh>, stream: TcpStream, from: SocketAddr, permit: OwnedSemaphorePermit) {
+    let (proved, wait) = oneshot::channel();
+    let peer = Peer {
+        ssh: ssh.clone(),
+        from,
+        user: None,
+        proved: Some(proved),
+        channels: BTreeMap::new(),
+        sessions: 0,
+    };
+    let limit = ssh.bounds.hello;
+    let running = match tokio::time::timeout(
+        limit,
+        russh::server::run_stream(ssh.config.clone(), stream, peer),
+    )
+    .await
+    {
+        Ok(Ok(running)) => running,
+        Ok(Err(what)) => {
+            info!(%from, %what, "ssh handshake");
+            return;
+        }
+        Err(_) => {
+            info!(%from, "ssh handshake not done in time");
+            return;
+        }
+    };
+    let handle = running.handle();
+    let watch = async move {
+        // Guards against connections that shake hands and never prove who they are.
+        if tokio::time::timeout(limit, wait).await.is_err() {
+            info!(%from, "ssh peer did not prove who it is in time");
+            let _ = handle.disconnect(russh::Disconnect::ByApplication, String::new(), String::new()).await;
+        }
+        drop(permit);
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        ended = running => {
+            if let Err(what) = ended {
+                info!(%from, %what, "ssh connection over");
+            }
+        }
+        () = watch => {}
+    }
+}
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -53,8 +53,8 @@
     datastores: Datastores,
     audit: Audit,
     survey: Option<(Duration, Arc<Survey>)>,
-    /// What followers of changes last saw.
-    seen: Arc<Fields>,
+    /// What followers of changes last saw; none while there are none.
+    seen: Option<Fields>,
     followers: BTreeMap<u64, Follower>,
     next_follower: u64,
     /// Sessions that the desk has ended, each to be told by its front.
@@ -65,8 +65,8 @@
     level: Option<String>,
 }
 
-/// Sets the log's level while running.
-pub type SetLevel = Box<dyn Fn(&str) + Send + Sync>;
+/// Sets the log's level while running; none: as the program was started.
+pub type SetLevel = Box<dyn Fn(Option<&str>) + Send + Sync>;
 
 /// The datastores as they come back at a start, ahead of the dispatcher.
 pub struct Opened {
@@ -125,7 +125,7 @@
             datastores: self.datastores,
             audit: self.audit,
             survey: None,
-            seen: Arc::new(Fields::new()),
+            seen: None,
             followers: BTreeMap::new(),
             next_follower: 1,
             ended: VecDeque::new(),
@@ -258,7 +258,7 @@
         let names = ["router", "logging", "level"];
         let told = data::leaf(&self.schema, inner.datastores.running(), &names).map(Scalar::to_string);
         if told != inner.level {
-            (self.set_level)(told.as_deref().unwrap_or("info"));
+            (self.set_level)(told.as_deref());
             inner.level = told;
         }
         committed
@@ -333,19 +333,23 @@
 
     /// Offers followers what has changed since the last pulse, and tells of hosts that stand otherwise.
     async fn pulse(&self) {
-        let wanted = {
-            let inner = self.lock();
-            inner.followers.values().any(Follower::watches) || self.events.receiver_count() > 0
-        };
-        if !wanted {
-            return;
+        {
+            let mut inner = self.lock();
+            let watched = inner.followers.values().any(Follower::watches);
+            if !watched {
+                inner.seen = None;
+            }
+            if !watched && self.events.receiver_count() == 0 {
+                inner.hosts.clear();
+                return;
+            }
         }
         let survey = self.survey().await;
         let now = self.now();
         let mut inner = self.lock();
         let tree = state::operational(&inner.datastores, &self.link, &survey, self.started, now);
-        let changes = data::differences(&inner.seen, &tree);
-        inner.seen = Arc::new(tree);
+        let changes = inner.seen.as_ref().map(|seen| data::differences(seen, &tree)).unwrap_or_default();
+        inner.seen = Some(tree);
         if !changes.is_empty() {
             for follower in inner.followers.values_mut() {
                 follower.subscription.offer(&changes);
@@ -507,13 +511,16 @@
     }
 
     /// Begins to follow values; the number is for `next` and `unfollow`.
-    pub fn follow(
+    pub async fn follow(
         &mut self,
         patterns: Vec<Pattern>,
         trigger: Trigger,
         updates_only: bool,
     ) -> Result<Following, Fault> {
         self.may_call("establish-subscription")?;
+        // Guards against a change that falls between the first picture and the first pulse: what is compared
+        // with must not be younger than that picture.
+        let present = self.desk.operational().await;
         let now = self.desk.now();
         let wake = Arc::new(Notify::new());
         if self.desk.lock().followers.len() >= MOST_FOLLOWERS {
@@ -522,6 +529,7 @@
         }
         self.follows += 1;
         let mut inner = self.touched();
+        inner.seen.get_or_insert(present);
         let number = inner.next_follower;
         inner.next_follower += 1;
         let subscription = Subscription::new(patterns.clone(), trigger, updates_only, now);
--- /dev/null
+++ b/crates/rockflow-stand-ins/src/board.rs
@@ -0,0 +1,84 @@
+//! A notice board: events in order, to whoever asks from a number on, with a comment each second.
+
+use serde_json::Value;
+use std::net::{SocketAddr, TcpListener as Listener};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+pub struct Board {
+    pub address: SocketAddr,
+    /// All events so far; none: the board is gone for good.
+    events: watch::Sender<Option<Vec<Value>>>,
+}
+
+impl Board {
+    pub fn start() -> Board {
+        let listener = Listener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("nonblocking");
+        let address = listener.local_addr().expect("an address");
+        let (events, told) = watch::channel(Some(Vec::new()));
+        crate::thread("board", async move {
+            let listener = TcpListener::from_std(listener).expect("a listener");
+            let mut over = told.clone();
+            loop {
+                tokio::select! {
+                    Ok((stream, _)) = listener.accept() => {
+                        tokio::spawn(serve(stream, told.clone()));
+                    }
+                    ended = over.wait_for(Option::is_none) => {
+                        let _ = ended;
+                        return;
+                    }
+                }
+            }
+        });
+        Board { address, events }
+    }
+
+    /// Tells an event, whose `rev` must be the next number.
+    pub fn tell(&self, event: Value) {
+        self.events.send_modify(|events| events.iter_mut().for_each(|events| events.push(event.clone())));
+    }
+}
+
+impl Drop for Board {
+    fn drop(&mut self) {
+        let _ = self.events.send(None);
+    }
+}
+
+async fn serve(mut stream: TcpStream, mut told: watch::Receiver<Option<Vec<Value>>>) {
+    let mut head = Vec::new();
+    let mut buffer = [0; 1024];
+    while !head.windows(4).any(|window| window == b"\r\n\r\n") {
+        match stream.read(&mut buffer).await {
+            Ok(n) if n > 0 && head.len() < 16 * 1024 => head.extend_from_slice(&buffer[..n]),
+            _ => return,
+        }
+    }
+    let text = String::from_utf8_lossy(&head).to_lowercase();
+    let last = text.lines().find_map(|line| line.strip_prefix("last-event-id:"));
+    let mut last: u64 = last.and_then(|word| word.trim().parse().ok()).unwrap_or(0);
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    if stream.write_all(answer).await.is_err() {
+        return;
+    }
+    loop {
+        let Some(events) = told.borrow_and_update().clone() else { return };
+        for event in events {
+            let rev = event["rev"].as_u64().unwrap_or(0);
+            if rev > last {
+                last = rev;
+                if stream.write_all(format!("id: {rev}\ndata: {event}\n\n").as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+        let wait = tokio::time::timeout(Duration::from_secs(1), told.changed()).await;
+        if wait.is_err() && stream.write_all(b":\n\n").await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/rockflow-yang/src/data.rs
+++ b/crates/rockflow-yang/src/data.rs
@@ -187,6 +187,9 @@
             return fault(EditError::NotWritable, "is a key, which can't be changed");
         }
     }
+    if matches!(node.kind, Kind::LeafList { .. }) && !last.keys.is_empty() {
+        return apply_value(schema, fields, edit, last);
+    }
     let there = get(fields, &edit.path.0).is_some();
     match edit.op {
         Op::Create if there => return fault(EditError::Exists, "exists already"),
@@ -232,6 +235,36 @@
     Ok(())
 }
 
+/// One value of a leaf-list, which its path names.
+fn apply_value(schema: &Schema, fields: &mut Fields, edit: &Edit, last: &Step) -> Result<(), EditFault> {
+    let fault = |error: EditError, what: &str| {
+        Err(EditFault { error, path: edit.path.clone(), what: what.to_string() })
+    };
+    let mut whole = edit.path.0.clone();
+    whole.iter_mut().next_back().into_iter().for_each(|step| step.keys.clear());
+    let mut values = match get(fields, &whole) {
+        Some(Found::Data(Data::LeafList(values))) => values.clone(),
+        _ => BTreeSet::new(),
+    };
+    let Some(value) = last.keys.first() else {
+        return fault(EditError::BadValue, "names no value");
+    };
+    let there = values.contains(value);
+    match edit.op {
+        Op::Create if there => return fault(EditError::Exists, "exists already"),
+        Op::Delete | Op::Expect if !there => return fault(EditError::Missing, "does not exist"),
+        Op::Expect => return Ok(()),
+        Op::Delete | Op::Remove => values.remove(value),
+        Op::Merge | Op::Replace | Op::Create => values.insert(value.clone()),
+    };
+    if values.is_empty() {
+        remove(fields, &whole);
+    } else {
+        put(schema, fields, &whole, Data::LeafList(values));
+    }
+    Ok(())
+}
+
 enum Place<'a> {
     Entry(&'a mut Fields),
     Slot(&'a mut Fields, NodeId),
