gNMI at the management desk: Get, Set in one transaction, Subscribe in every mode

The same state and marks have to be had by gRPC telemetry tools.

rockflow-gnmi serves the messages of the published specification over TLS with certificates both ways: paths with open keys, JSON_IETF, one transaction a Set, ONCE, POLL and STREAM with samples, changes, heartbeats and merged duplicates. Extensions and union_replace are refused, not passed over. A subscriber that does not read holds its cap and no more.

On loopback: a drain by Set under load with no leg at the host 100 ms after the reply; locks and candidates of NETCONF against Sets of gNMI.

--- a/crates/rockflow-agent/src/lib.rs
+++ b/crates/rockflow-agent/src/lib.rs
@@ -14,6 +14,8 @@
     opened: Opened,
     #[cfg(feature = "netconf")]
     netconf: Option<rockflow_netconf::Bound>,
+    #[cfg(feature = "gnmi")]
+    gnmi: Option<rockflow_gnmi::Bound>,
 }
 
 /// Where the fronts listen; none: not told, or not built in.
@@ -32,7 +34,13 @@
         if file.netconf.is_some() {
             return Err("[netconf]: this program is built without it".to_string());
         }
+        #[cfg(not(feature = "gnmi"))]
+        if file.gnmi.is_some() {
+            return Err("[gnmi]: this program is built without it".to_string());
+        }
         Ok(Some(Agent {
+            #[cfg(feature = "gnmi")]
+            gnmi: file.gnmi.as_ref().map(rockflow_gnmi::Bound::new).transpose()?,
             #[cfg(feature = "netconf")]
             netconf: file.netconf.as_ref().map(rockflow_netconf::Bound::new).transpose()?,
             opened: Opened::open(clock, part)?,
@@ -45,6 +53,10 @@
         if let Some(part) = &file.netconf {
             rockflow_netconf::Bound::check(part)?;
         }
+        #[cfg(feature = "gnmi")]
+        if let Some(part) = &file.gnmi {
+            rockflow_gnmi::Bound::check(part)?;
+        }
         Ok(())
     }
 
@@ -60,6 +72,10 @@
         if let Some(bound) = &self.netconf {
             (all.ssh, all.tls) = bound.addresses();
         }
+        #[cfg(feature = "gnmi")]
+        {
+            all.gnmi = self.gnmi.as_ref().and_then(rockflow_gnmi::Bound::address);
+        }
         all
     }
 
@@ -71,6 +87,8 @@
         let served = desk.clone();
         #[cfg(feature = "netconf")]
         let netconf = self.netconf;
+        #[cfg(feature = "gnmi")]
+        let gnmi = self.gnmi;
         std::thread::Builder::new().name("management".to_string()).spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = match runtime {
@@ -84,6 +102,12 @@
                         error!(what, "netconf does not serve");
                     }
                 }
+                #[cfg(feature = "gnmi")]
+                if let Some(bound) = gnmi {
+                    if let Err(what) = rockflow_gnmi::Server::start(bound, served.clone()) {
+                        error!(what, "gnmi does not serve");
+                    }
+                }
                 served.run().await;
             });
         })?;
--- a/crates/rockflow-agent/tests/common/mod.rs
+++ b/crates/rockflow-agent/tests/common/mod.rs
@@ -47,15 +47,18 @@
     }
     let at = |name: &str| folder.file(name).display().to_string();
     let store = if store { format!("store = {}\n", at("store")) } else { String::new() };
+    let tls = format!(
+        "certificate = {}\nkey = {}\nclient-ca = {}\n",
+        at("server.pem"),
+        at("server.key"),
+        at("ca.pem")
+    );
     let text = format!(
         "[management]\nowner = root\n{store}audit = {}\n[netconf]\nssh = 127.0.0.1:0\nhost-key = {}\n\
-         authorized-keys = {}\ntls = 127.0.0.1:0\ncertificate = {}\nkey = {}\nclient-ca = {}\n{more}",
+         authorized-keys = {}\ntls = 127.0.0.1:0\n{tls}{more}[gnmi]\nlisten = 127.0.0.1:0\n{tls}",
         at("audit"),
         at("host"),
         at("users"),
-        at("server.pem"),
-        at("server.key"),
-        at("ca.pem"),
     );
     (file::read(&[("rig.ini".to_string(), text)]).unwrap(), authority)
 }
@@ -111,6 +114,12 @@
         Client::tls(&address, "localhost", self.tls_config(&self.authority, user)).await.unwrap()
     }
 
+    pub async fn gnmi(&self, user: &str) -> rockflow_manage::gnmi::Client {
+        let address = self.addresses.gnmi.unwrap().to_string();
+        let config = self.tls_config(&self.authority, user);
+        rockflow_manage::gnmi::Client::connect(&address, "localhost", config).await.unwrap()
+    }
+
     pub fn tree(&self, value: serde_json::Value) -> Fields {
         json::read(&self.schema, None, &value, false).unwrap()
     }
--- /dev/null
+++ b/crates/rockflow-agent/tests/gnmi.rs
@@ -0,0 +1,307 @@
+//! gNMI against a whole dispatcher on loopback.
+
+mod common;
+
+use common::{block_on, Rig};
+use rockflow_gnmi::wire;
+use rockflow_manage::gnmi::{self, Client};
+use rockflow_manage::Trouble;
+use rockflow_stand_ins::{keys, Load};
+use serde_json::json;
+use std::time::Duration;
+use test_case::test_case;
+use tonic::Streaming;
+use wire::subscribe_response::Response;
+
+const MS: Duration = Duration::from_millis(1);
+const WAIT: Duration = Duration::from_secs(5);
+
+fn refused(ended: Result<impl Sized, Trouble>) -> (String, String) {
+    match ended.err().expect("a refusal") {
+        Trouble::Refused { tag, message, .. } => (tag, message),
+        other => panic!("{other}"),
+    }
+}
+
+async fn next(stream: &mut Streaming<wire::SubscribeResponse>) -> Response {
+    let told = tokio::time::timeout(WAIT, stream.message()).await.expect("in time");
+    told.unwrap().expect("a message").response.unwrap()
+}
+
+/// Updates and deletes up to the sync, by path.
+async fn until_sync(stream: &mut Streaming<wire::SubscribeResponse>) -> Vec<(String, serde_json::Value)> {
+    let mut all = Vec::new();
+    loop {
+        match next(stream).await {
+            Response::SyncResponse(_) => return all,
+            Response::Update(note) => all.extend(
+                note.update
+                    .iter()
+                    .map(|update| (gnmi::text(update.path.as_ref().unwrap()), gnmi::json(update))),
+            ),
+        }
+    }
+}
+
+async fn effective(rig: &Rig, client: &mut Client, host: &str) -> serde_json::Value {
+    let path = format!("/router/state/hosts/host[name={host}]/effective");
+    client.get(&rig.schema, &[path]).await.unwrap()[0].1.clone()
+}
+
+#[test]
+fn a_drain_by_set_takes_hold_under_load() {
+    let rig = Rig::start(3, 1, 2 * MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let told = root.capabilities().await.unwrap();
+        let names: Vec<_> = told.supported_models.iter().map(|model| model.name.as_str()).collect();
+        assert_eq!(names, ["rockflow-types", "rockflow-router", "rockflow-access", "rockflow-history"]);
+        assert_eq!(effective(&rig, &mut root, "c1").await, "ready");
+        let load = Load::start(rig.address(), 20, Duration::ZERO, 3);
+        tokio::time::sleep(200 * MS).await;
+        let mark = "/router/marks/mark[host=c1]";
+        root.set(&rig.schema, &[], &[], &[(mark, json!({"reason": "disk"}))]).await.unwrap();
+        let replied = std::time::Instant::now();
+        tokio::time::sleep(200 * MS).await;
+        let tally = load.stop();
+        assert_eq!((tally.lost, tally.doubled), (0, 0));
+        let came = rig.site.hosts["c1"].take();
+        let late = came.iter().filter_map(|leg| leg.at.checked_duration_since(replied)).max();
+        assert!(came.len() > 10 && late.unwrap_or_default() < 100 * MS, "{late:?}");
+        assert_eq!(effective(&rig, &mut root, "c1").await, "draining");
+        root.set(&rig.schema, &[mark], &[], &[]).await.unwrap();
+        assert_eq!(effective(&rig, &mut root, "c1").await, "ready");
+    });
+}
+
+#[test]
+fn a_set_is_one_transaction() {
+    let rig = Rig::start(4, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let marks = "/router/marks";
+        let both = json!({"mark": [{"host": "c1"}, {"host": "c2", "state": "gone"}]});
+        root.set(&rig.schema, &[], &[(marks, both)], &[("/router/logging/level", json!("debug"))])
+            .await
+            .unwrap();
+        // One that is wrong takes the others with it.
+        let bad = [("/router/marks/mark[host=c3]", json!({})), ("/router/logging/level", json!("loud"))];
+        assert_eq!(refused(root.set(&rig.schema, &[], &[], &bad).await).0, "invalid-value");
+        let found = root.get(&rig.schema, &["/router/marks/mark[host=*]/host".into()]).await.unwrap();
+        assert_eq!(found.len(), 2);
+        // Deletes come first, with open keys too; replace leaves nothing of what was.
+        let one = [("/router/marks/mark[host=c2]", json!({"reason": "new"}))];
+        root.set(&rig.schema, &["/router/marks/mark[host=*]"], &one, &[]).await.unwrap();
+        let found = root.get(&rig.schema, &["/router/marks".into()]).await.unwrap();
+        let mark = &found[0].1["rockflow-router:mark"][0];
+        assert_eq!(
+            (&mark["host"], &mark["reason"], &mark["author"]),
+            (&json!("c2"), &json!("new"), &json!("root"))
+        );
+        assert!(mark.get("state").is_none());
+        assert_eq!(effective(&rig, &mut root, "c1").await, "ready");
+        // The last of a location, without force and with it.
+        let all = json!({"mark": [{"host": "c1"}, {"host": "c2"}, {"host": "c3"}, {"host": "c4"}]});
+        let (tag, message) = refused(root.set(&rig.schema, &[], &[], &[(marks, all)]).await);
+        assert_eq!(tag, "operation-failed");
+        assert!(message.contains("force"), "{message}");
+    });
+}
+
+#[test]
+fn a_lock_by_the_other_protocol_stands_in_the_way() {
+    let rig = Rig::start(3, 1, MS);
+    block_on(async {
+        let (mut gnmi, mut netconf) = (rig.gnmi("root").await, rig.ssh("root").await);
+        let mark = [("/router/marks/mark[host=c1]", json!({}))];
+        netconf.call("<lock><target><running/></target></lock>").await.unwrap();
+        let (tag, message) = refused(gnmi.set(&rig.schema, &[], &[], &mark).await);
+        assert_eq!(tag, "in-use");
+        assert!(message.contains(&format!("session {}", netconf.session)), "{message}");
+        // It dies, and the lock with it.
+        drop(netconf);
+        let set = async { while gnmi.set(&rig.schema, &[], &[], &mark).await.is_err() {} };
+        tokio::time::timeout(WAIT, set).await.unwrap();
+        // A candidate that was begun before the set, on the same host.
+        let mut netconf = rig.ssh("root").await;
+        let path = "<router xmlns=\"urn:rockflow:yang:router\"><marks><mark><host>c1</host><reason>mine</reason></mark></marks></router>";
+        netconf.edit_xml(path).await.unwrap();
+        gnmi.set(&rig.schema, &[], &[], &[("/router/marks/mark[host=c1]/reason", json!("theirs"))])
+            .await
+            .unwrap();
+        let ended = netconf.commit(None, None, None).await;
+        assert!(
+            matches!(&ended, Err(Trouble::Refused { app_tag: Some(tag), .. }) if tag == "conflict"),
+            "{ended:?}"
+        );
+    });
+}
+
+#[test]
+fn subscriptions_of_every_mode() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let paths = ["/router/state/hosts/host/effective".to_string(), "/router/marks".to_string()];
+        let mut changes = root.clone().follow(&rig.schema, &paths, None).await.unwrap();
+        assert_eq!(until_sync(&mut changes).await.len(), 4);
+        let mut samples = root.clone().follow(&rig.schema, &paths[..1], Some(100 * MS)).await.unwrap();
+        assert_eq!(until_sync(&mut samples).await.len(), 4);
+        let mark = "/router/marks/mark[host=c1]";
+        root.set(&rig.schema, &[], &[], &[(mark, json!({"reason": "x"}))]).await.unwrap();
+        let mut told = Vec::new();
+        while !told
+            .iter()
+            .any(|(path, value): &(String, _)| path.contains("effective") && *value == "draining")
+        {
+            if let Response::Update(note) = next(&mut changes).await {
+                told.extend(
+                    note.update
+                        .iter()
+                        .map(|update| (gnmi::text(update.path.as_ref().unwrap()), gnmi::json(update))),
+                );
+            }
+        }
+        root.set(&rig.schema, &[mark], &[], &[]).await.unwrap();
+        let mut deleted = Vec::new();
+        while !deleted.iter().any(|path: &String| path.ends_with("mark[host=c1]/host")) {
+            if let Response::Update(note) = next(&mut changes).await {
+                deleted.extend(note.delete.iter().map(gnmi::text));
+            }
+        }
+        // Samples come whether or not anything changes.
+        for _ in 0..3 {
+            assert!(matches!(next(&mut samples).await, Response::Update(note) if note.update.len() == 4));
+        }
+    });
+}
+
+fn subscribe(
+    mode: wire::subscription_list::Mode,
+    subscription: Vec<wire::Subscription>,
+) -> wire::SubscribeRequest {
+    let list = wire::SubscriptionList {
+        mode: mode as i32,
+        subscription,
+        encoding: wire::Encoding::JsonIetf as i32,
+        ..Default::default()
+    };
+    wire::SubscribeRequest {
+        request: Some(wire::subscribe_request::Request::Subscribe(list)),
+        extension: Vec::new(),
+    }
+}
+
+#[test]
+fn once_and_poll() {
+    use wire::subscription_list::Mode;
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let one = || wire::Subscription {
+            path: Some(gnmi::path(&rig.schema, "/router/state/hosts/host/effective").unwrap()),
+            ..Default::default()
+        };
+        let asked = subscribe(Mode::Once, vec![one()]);
+        let mut once = root.subscribe(tokio_stream::once(asked)).await.unwrap();
+        assert_eq!(until_sync(&mut once).await.len(), 4);
+        assert!(once.message().await.unwrap().is_none(), "ONCE ends with its sync");
+        let (sender, receiver) = tokio::sync::mpsc::channel(4);
+        sender.send(subscribe(Mode::Poll, vec![one()])).await.unwrap();
+        let mut poll = root.subscribe(tokio_stream::wrappers::ReceiverStream::new(receiver)).await.unwrap();
+        assert_eq!(until_sync(&mut poll).await.len(), 4);
+        let request = Some(wire::subscribe_request::Request::Poll(wire::Poll {}));
+        sender.send(wire::SubscribeRequest { request, extension: Vec::new() }).await.unwrap();
+        assert_eq!(until_sync(&mut poll).await.len(), 4);
+        // A second list is no poll.
+        sender.send(subscribe(Mode::Once, vec![one()])).await.unwrap();
+        let ended = tokio::time::timeout(WAIT, poll.message()).await.unwrap();
+        assert_eq!(ended.unwrap_err().code(), tonic::Code::InvalidArgument);
+    });
+}
+
+fn elems(names: &[&str]) -> wire::Path {
+    let elem = names.iter().map(|name| wire::PathElem { name: name.to_string(), key: Default::default() });
+    wire::Path { elem: elem.collect(), ..Default::default() }
+}
+
+#[test_case(elems(&["router", "nothing"]), "invalid-value"; "no such node")]
+#[test_case(elems(&["router", "marks", "mark", "state", "more"]), "invalid-value"; "below a leaf")]
+#[test_case(elems(&["*"]), "operation-not-supported"; "open step")]
+#[test_case(elems(&["drain"]), "invalid-value"; "a call")]
+#[test_case(elems(&["router"; 5000]), "invalid-value"; "thousands of steps")]
+#[test_case(elems(&["a:b:c"]), "invalid-value"; "odd name")]
+#[test_case(wire::Path { origin: "openconfig".into(), ..Default::default() }, "invalid-value"; "origin")]
+fn paths_are_judged_where_they_are_decoded(path: wire::Path, tag: &str) {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let asked = wire::GetRequest {
+            path: vec![path.clone()],
+            encoding: wire::Encoding::JsonIetf as i32,
+            ..Default::default()
+        };
+        assert_eq!(refused(root.raw_get(asked).await).0, tag);
+        let delete = wire::SetRequest { delete: vec![path], ..Default::default() };
+        assert_eq!(refused(root.raw_set(delete).await).0, tag);
+    });
+}
+
+#[test]
+fn what_is_not_served_is_refused_clearly() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let update = wire::Update { path: Some(elems(&["router"])), ..Default::default() };
+        let asked = wire::SetRequest { union_replace: vec![update.clone()], ..Default::default() };
+        assert_eq!(refused(root.raw_set(asked).await).0, "operation-not-supported");
+        let asked = wire::SetRequest { extension: vec![wire::Extension {}], ..Default::default() };
+        assert_eq!(refused(root.raw_set(asked).await).0, "operation-not-supported");
+        let asked = wire::GetRequest { encoding: wire::Encoding::Proto as i32, ..Default::default() };
+        assert_eq!(refused(root.raw_get(asked).await).0, "operation-not-supported");
+        let asked = wire::SetRequest { update: vec![update; 5000], ..Default::default() };
+        assert_eq!(refused(root.raw_set(asked).await).0, "resource-denied");
+        // Who may only read.
+        let mut eve = rig.gnmi("eve").await;
+        assert_eq!(effective(&rig, &mut eve, "c1").await, "ready");
+        let mark = [("/router/marks/mark[host=c1]", json!({}))];
+        assert_eq!(refused(eve.set(&rig.schema, &[], &[], &mark).await).0, "access-denied");
+        // A certificate of another authority.
+        let address = rig.addresses.gnmi.unwrap().to_string();
+        let config = rig.tls_config(&keys::Authority::new("other"), "root");
+        let mut tried = match Client::connect(&address, "localhost", config).await {
+            Ok(client) => client,
+            Err(_) => return,
+        };
+        assert!(tried.capabilities().await.is_err());
+    });
+}
+
+#[test]
+fn a_subscriber_that_reads_nothing_holds_no_more_than_its_cap() {
+    let rig = Rig::start(2, 1, MS);
+    block_on(async {
+        let mut root = rig.gnmi("root").await;
+        let paths = ["/router/marks".to_string(), "/router/state".to_string()];
+        let stuck = rig.gnmi("root").await.follow(&rig.schema, &paths, None).await.unwrap();
+        let mut reader = root.clone().follow(&rig.schema, &paths[..1], None).await.unwrap();
+        until_sync(&mut reader).await;
+        for round in 0..200 {
+            let mark = [("/router/marks/mark[host=x]/reason", json!(format!("{round} {}", "r".repeat(200))))];
+            root.set(&rig.schema, &[], &[], &mark).await.unwrap();
+        }
+        // Others are told of the last all the same, and each waits for nobody.
+        loop {
+            if let Response::Update(note) = next(&mut reader).await {
+                if note
+                    .update
+                    .iter()
+                    .any(|update| gnmi::json(update).as_str().is_some_and(|v| v.starts_with("199 ")))
+                {
+                    break;
+                }
+            }
+        }
+        drop(stuck);
+    });
+}
--- /dev/null
+++ b/crates/rockflow-gnmi/src/paths.rs
@@ -0,0 +1,202 @@
+//! Paths and values of gNMI, to and from those of the model. Strict: what names nothing is a fault.
+
+use crate::wire;
+use rockflow_management::{Fault, Tag};
+use rockflow_yang::path::{Loose, MOST_STEPS};
+use rockflow_yang::{json, Data, Fields, Kind, NodeId, Path, Pattern, Scalar, Schema, Step};
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use wire::typed_value::Value as Typed;
+
+/// Paths in one request.
+pub const MOST_PATHS: usize = 64;
+/// Instances that one path with open keys may lead to.
+pub const MOST_INSTANCES: usize = 20_000;
+
+fn invalid(what: impl Into<String>) -> Fault {
+    Fault::new(Tag::InvalidValue, what)
+}
+
+/// A path behind its prefix; keys that are not told, or `*`, are open.
+pub fn pattern(
+    schema: &Schema,
+    prefix: Option<&wire::Path>,
+    path: Option<&wire::Path>,
+) -> Result<Pattern, Fault> {
+    let mut steps: Vec<Loose> = Vec::new();
+    for path in prefix.into_iter().chain(path) {
+        if !matches!(path.origin.as_str(), "" | "rfc7951" | "rockflow") {
+            return Err(invalid(format!("{}: no such origin", path.origin)));
+        }
+        for elem in &path.elem {
+            if steps.len() >= MOST_STEPS {
+                return Err(invalid(format!("a path of more than {MOST_STEPS} steps")));
+            }
+            if matches!(elem.name.as_str(), "*" | "...") {
+                let what = format!("{}: open steps are not served, open keys are", elem.name);
+                return Err(Fault::new(Tag::OperationNotSupported, what));
+            }
+            let told = elem.key.iter().map(|(key, value)| (key.as_str(), value.as_str()));
+            let step = Loose::read(schema, steps.last(), &elem.name, told).map_err(invalid)?;
+            if !matches!(
+                schema.node(step.node).kind,
+                Kind::Container | Kind::List { .. } | Kind::Leaf { .. } | Kind::LeafList { .. }
+            ) {
+                return Err(invalid(format!("{}: no data", elem.name)));
+            }
+            steps.push(step);
+        }
+    }
+    Ok(Pattern(steps))
+}
+
+/// Whether every key on the way is told.
+pub fn is_closed(pattern: &Pattern) -> bool {
+    pattern.0.iter().all(|step| step.keys.iter().all(Option::is_some))
+}
+
+/// One instance; the last step may be a whole list.
+pub fn closed(pattern: &Pattern) -> Option<Path> {
+    let last = pattern.0.len().saturating_sub(1);
+    let step = |(place, step): (usize, &Loose)| {
+        let open = place == last && step.keys.iter().all(Option::is_none);
+        let keys = if open { Some(Vec::new()) } else { step.keys.iter().cloned().collect() };
+        keys.map(|keys| Step { node: step.node, keys })
+    };
+    pattern.0.iter().enumerate().map(step).collect::<Option<Vec<_>>>().map(Path)
+}
+
+pub fn path(schema: &Schema, path: &Path) -> wire::Path {
+    let elem = path.0.iter().map(|step| {
+        let keys = schema.keys(step.node).iter().zip(&step.keys);
+        wire::PathElem {
+            name: schema.qualified(step.node),
+            key: keys.map(|(key, value)| (schema.node(*key).name.clone(), value.to_string())).collect(),
+        }
+    });
+    wire::Path { elem: elem.collect(), ..wire::Path::default() }
+}
+
+/// Names at the top of a value bear their module, wherever it stands (RFC 7951, section 4).
+fn object(schema: &Schema, fields: &Fields) -> Value {
+    let mut all = Map::new();
+    for (id, data) in fields {
+        let name = format!("{}:{}", schema.module_of(*id).name, schema.node(*id).name);
+        all.insert(name, json::write_data(schema, *id, data));
+    }
+    Value::Object(all)
+}
+
+/// Each instance that the pattern names, with its value; entries of a list come one by one.
+pub fn instances(schema: &Schema, fields: &Fields, pattern: &Pattern) -> Result<Vec<(Path, Value)>, Fault> {
+    let mut found = Vec::new();
+    if pattern.0.is_empty() {
+        found.push((Path::default(), object(schema, fields)));
+    } else {
+        below(schema, fields, &pattern.0, &Path::default(), &mut found)?;
+    }
+    Ok(found)
+}
+
+fn below(
+    schema: &Schema,
+    fields: &Fields,
+    steps: &[Loose],
+    at: &Path,
+    found: &mut Vec<(Path, Value)>,
+) -> Result<(), Fault> {
+    let Some((step, rest)) = steps.split_first() else { return Ok(()) };
+    let Some(data) = fields.get(&step.node) else { return Ok(()) };
+    if found.len() >= MOST_INSTANCES {
+        return Err(Fault::new(Tag::TooBig, format!("more than {MOST_INSTANCES} instances")));
+    }
+    match data {
+        Data::List(entries) => {
+            for (keys, inner) in entries {
+                let fits = step.keys.iter().zip(keys);
+                if !fits.into_iter().all(|(told, key)| told.as_ref().is_none_or(|told| told == key)) {
+                    continue;
+                }
+                let here = at.then(step.node, keys.clone());
+                if rest.is_empty() {
+                    found.push((here, object(schema, inner)));
+                } else {
+                    below(schema, inner, rest, &here, found)?;
+                }
+            }
+        }
+        Data::Container(inner) if !rest.is_empty() => {
+            below(schema, inner, rest, &at.then(step.node, Vec::new()), found)?;
+        }
+        Data::Container(inner) => found.push((at.then(step.node, Vec::new()), object(schema, inner))),
+        data if rest.is_empty() => {
+            found.push((at.then(step.node, Vec::new()), json::write_data(schema, step.node, data)));
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+pub fn encoded(value: &Value, encoding: wire::Encoding) -> wire::TypedValue {
+    let bytes = value.to_string().into_bytes();
+    let value =
+        if encoding == wire::Encoding::Json { Typed::JsonVal(bytes) } else { Typed::JsonIetfVal(bytes) };
+    wire::TypedValue { value: Some(value) }
+}
+
+/// A leaf's value as JSON.
+pub fn leaf(schema: &Schema, node: NodeId, value: &Scalar) -> Value {
+    json::write_scalar(schema.type_of(node), value)
+}
+
+/// The value for a path, as the model has it.
+pub fn value(schema: &Schema, path: &Path, typed: Option<&wire::TypedValue>) -> Result<Data, Fault> {
+    let typed = typed.and_then(|typed| typed.value.as_ref());
+    let typed = typed.ok_or_else(|| invalid("an update has no value").at(path))?;
+    let fault = |what: String| invalid(what).at(path);
+    let parsed = match typed {
+        Typed::JsonVal(bytes) | Typed::JsonIetfVal(bytes) => {
+            serde_json::from_slice::<Value>(bytes).map_err(|what| fault(what.to_string()))?
+        }
+        scalar => return scalars(schema, path, scalar),
+    };
+    let Some(last) = path.0.last() else {
+        return json::read(schema, None, &parsed, false).map(Data::Container).map_err(fault);
+    };
+    match &schema.node(last.node).kind {
+        Kind::List { .. } if !last.keys.is_empty() => {
+            let fields = json::read(schema, Some(last.node), &parsed, false).map_err(fault)?;
+            for (key, told) in schema.keys(last.node).iter().zip(&last.keys) {
+                if fields.get(key).and_then(Data::scalar).is_some_and(|value| value != told) {
+                    return Err(fault("the keys of the value are others than the path's".to_string()));
+                }
+            }
+            Ok(Data::Container(fields))
+        }
+        _ => json::read_data(schema, last.node, &parsed, false).map_err(fault),
+    }
+}
+
+fn scalars(schema: &Schema, path: &Path, typed: &Typed) -> Result<Data, Fault> {
+    let node = path.node().ok_or_else(|| invalid("the top holds no value"))?;
+    let of = schema.type_of(node).ok_or_else(|| invalid("holds no value").at(path))?;
+    let text = |typed: &Typed| {
+        Ok(match typed {
+            Typed::StringVal(text) | Typed::AsciiVal(text) => text.clone(),
+            Typed::IntVal(number) => number.to_string(),
+            Typed::UintVal(number) => number.to_string(),
+            Typed::BoolVal(value) => value.to_string(),
+            Typed::DoubleVal(number) => number.to_string(),
+            _ => return Err(invalid("a value of a kind that is not served").at(path)),
+        })
+    };
+    let read = |typed: &Typed| of.read(&text(typed)?).map_err(|what| invalid(what).at(path));
+    match (&schema.node(node).kind, typed) {
+        (Kind::LeafList { .. }, Typed::LeaflistVal(all)) => {
+            let values = all.element.iter().filter_map(|one| one.value.as_ref()).map(read);
+            Ok(Data::LeafList(values.collect::<Result<BTreeSet<_>, _>>()?))
+        }
+        (Kind::LeafList { .. }, one) => Ok(Data::LeafList(BTreeSet::from([read(one)?]))),
+        (_, one) => Ok(Data::Leaf(read(one)?)),
+    }
+}
--- /dev/null
+++ b/crates/rockflow-manage/src/gnmi.rs
@@ -0,0 +1,194 @@
+//! The gNMI client, over TLS with certificates both ways.
+
+use crate::Trouble;
+use hyper_util::rt::TokioIo;
+use rockflow_gnmi::wire;
+use rockflow_gnmi::wire::g_nmi_client::GNmiClient;
+use rockflow_yang::{Pattern, Schema};
+use serde_json::Value;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Status, Streaming};
+
+const MOST: usize = 64 * 1024 * 1024;
+const WAIT: Duration = Duration::from_secs(30);
+
+#[derive(Clone)]
+pub struct Client {
+    inner: GNmiClient<Channel>,
+}
+
+fn trouble(status: Status) -> Trouble {
+    let tag = match status.code() {
+        Code::PermissionDenied => "access-denied",
+        Code::Aborted => "in-use",
+        Code::NotFound => "data-missing",
+        Code::AlreadyExists => "data-exists",
+        Code::ResourceExhausted => "resource-denied",
+        Code::Unimplemented => "operation-not-supported",
+        Code::InvalidArgument => "invalid-value",
+        Code::FailedPrecondition => "operation-failed",
+        _ => return Trouble::Connection(status.to_string()),
+    };
+    let message = status.message().to_string();
+    Trouble::Refused { tag: tag.to_string(), app_tag: None, message }
+}
+
+/// A path as text, such as `/router/marks/mark[host=c1]`, in the form of the wire.
+pub fn path(schema: &Schema, text: &str) -> Result<wire::Path, Trouble> {
+    let pattern = Pattern::read(schema, text).map_err(Trouble::Unreadable)?;
+    let elem = pattern.0.iter().map(|step| {
+        let names = schema.keys(step.node).iter().map(|key| schema.node(*key).name.clone());
+        let told = names.zip(&step.keys).filter_map(|(name, key)| Some((name, key.as_ref()?.to_string())));
+        wire::PathElem { name: schema.qualified(step.node), key: told.collect() }
+    });
+    Ok(wire::Path { elem: elem.collect(), ..wire::Path::default() })
+}
+
+/// A path of the wire as text.
+pub fn text(path: &wire::Path) -> String {
+    let mut text = String::new();
+    for elem in &path.elem {
+        text += &format!("/{}", elem.name);
+        let mut keys: Vec<_> = elem.key.iter().collect();
+        keys.sort();
+        keys.iter().for_each(|(key, value)| text += &format!("[{key}={value}]"));
+    }
+    if text.is_empty() {
+        text.push('/');
+    }
+    text
+}
+
+/// An update's value as JSON.
+pub fn json(update: &wire::Update) -> Value {
+    use wire::typed_value::Value as Typed;
+    match update.val.as_ref().and_then(|val| val.value.as_ref()) {
+        Some(Typed::JsonVal(bytes) | Typed::JsonIetfVal(bytes)) => {
+            serde_json::from_slice(bytes).unwrap_or(Value::Null)
+        }
+        Some(Typed::StringVal(text)) => Value::String(text.clone()),
+        _ => Value::Null,
+    }
+}
+
+fn update(path: wire::Path, value: &Value) -> wire::Update {
+    let value = wire::typed_value::Value::JsonIetfVal(value.to_string().into_bytes());
+    wire::Update { path: Some(path), val: Some(wire::TypedValue { value: Some(value) }), duplicates: 0 }
+}
+
+impl Client {
+    /// `name` is the server's, as its certificate has it; `config` holds the client's certificate.
+    pub async fn connect(
+        address: &str,
+        name: &str,
+        config: Arc<rustls::ClientConfig>,
+    ) -> Result<Client, Trouble> {
+        let mut config = (*config).clone();
+        config.alpn_protocols = vec![b"h2".to_vec()];
+        let connector = tokio_rustls::TlsConnector::from(Arc::new(config));
+        let (address, name) = (address.to_string(), name.to_string());
+        // The scheme only names the authority: what carries the bytes is TLS, below.
+        let endpoint = Endpoint::from_shared(format!("http://{name}"));
+        let endpoint = endpoint.map_err(|what| Trouble::Connection(what.to_string()))?.connect_timeout(WAIT);
+        let connect = tower::service_fn(move |_| {
+            let (connector, address, name) = (connector.clone(), address.clone(), name.clone());
+            async move {
+                let stream = TcpStream::connect(&address).await?;
+                stream.set_nodelay(true)?;
+                let name = rustls::pki_types::ServerName::try_from(name).map_err(std::io::Error::other)?;
+                Ok::<_, std::io::Error>(TokioIo::new(connector.connect(name, stream).await?))
+            }
+        });
+        let channel = endpoint.connect_with_connector(connect).await;
+        let channel = channel.map_err(|what| Trouble::Connection(format!("{what:?}")))?;
+        Ok(Client { inner: GNmiClient::new(channel).max_decoding_message_size(MOST) })
+    }
+
+    pub async fn capabilities(&mut self) -> Result<wire::CapabilityResponse, Trouble> {
+        let told = self.inner.capabilities(wire::CapabilityRequest::default()).await;
+        told.map(tonic::Response::into_inner).map_err(trouble)
+    }
+
+    /// Reads what the paths name: the path and value of each instance.
+    pub async fn get(&mut self, schema: &Schema, paths: &[String]) -> Result<Vec<(String, Value)>, Trouble> {
+        let paths = paths.iter().map(|text| path(schema, text)).collect::<Result<_, _>>()?;
+        let asked = wire::GetRequest {
+            path: paths,
+            encoding: wire::Encoding::JsonIetf as i32,
+            ..wire::GetRequest::default()
+        };
+        let told = self.inner.get(asked).await.map_err(trouble)?.into_inner();
+        let updates = told.notification.iter().flat_map(|note| &note.update);
+        Ok(updates.map(|update| (update.path.as_ref().map(text).unwrap_or_default(), json(update))).collect())
+    }
+
+    /// One transaction.
+    pub async fn set(
+        &mut self,
+        schema: &Schema,
+        delete: &[&str],
+        replace: &[(&str, Value)],
+        updates: &[(&str, Value)],
+    ) -> Result<wire::SetResponse, Trouble> {
+        let all = |pairs: &[(&str, Value)]| {
+            let made = pairs.iter().map(|(text, value)| Ok(update(path(schema, text)?, value)));
+            made.collect::<Result<Vec<_>, Trouble>>()
+        };
+        let asked = wire::SetRequest {
+            delete: delete.iter().map(|text| path(schema, text)).collect::<Result<_, _>>()?,
+            replace: all(replace)?,
+            update: all(updates)?,
+            ..wire::SetRequest::default()
+        };
+        self.inner.set(asked).await.map(tonic::Response::into_inner).map_err(trouble)
+    }
+
+    /// What the wire itself carries, for those who make their own messages.
+    pub async fn raw_set(&mut self, asked: wire::SetRequest) -> Result<wire::SetResponse, Trouble> {
+        self.inner.set(asked).await.map(tonic::Response::into_inner).map_err(trouble)
+    }
+
+    pub async fn raw_get(&mut self, asked: wire::GetRequest) -> Result<wire::GetResponse, Trouble> {
+        self.inner.get(asked).await.map(tonic::Response::into_inner).map_err(trouble)
+    }
+
+    /// Subscribes by messages of the caller's own.
+    pub async fn subscribe(
+        &mut self,
+        requests: impl tokio_stream::Stream<Item = wire::SubscribeRequest> + Send + 'static,
+    ) -> Result<Streaming<wire::SubscribeResponse>, Trouble> {
+        self.inner.subscribe(requests).await.map(tonic::Response::into_inner).map_err(trouble)
+    }
+
+    /// Follows what the paths name: its changes, or all of it at intervals.
+    pub async fn follow(
+        &mut self,
+        schema: &Schema,
+        paths: &[String],
+        period: Option<Duration>,
+    ) -> Result<Streaming<wire::SubscribeResponse>, Trouble> {
+        let mode =
+            if period.is_some() { wire::SubscriptionMode::Sample } else { wire::SubscriptionMode::OnChange };
+        let one = |text: &String| {
+            Ok(wire::Subscription {
+                path: Some(path(schema, text)?),
+                mode: mode as i32,
+                sample_interval: period.unwrap_or_default().as_nanos() as u64,
+                ..wire::Subscription::default()
+            })
+        };
+        let list = wire::SubscriptionList {
+            subscription: paths.iter().map(one).collect::<Result<_, Trouble>>()?,
+            encoding: wire::Encoding::JsonIetf as i32,
+            ..wire::SubscriptionList::default()
+        };
+        let request = wire::subscribe_request::Request::Subscribe(list);
+        let request = wire::SubscribeRequest { request: Some(request), ..wire::SubscribeRequest::default() };
+        // Held open: a subscription lives as long as its stream of requests.
+        let requests = tokio_stream::StreamExt::chain(tokio_stream::once(request), tokio_stream::pending());
+        self.subscribe(requests).await
+    }
+}
--- a/crates/rockflow-manage/src/lib.rs
+++ b/crates/rockflow-manage/src/lib.rs
@@ -1,6 +1,8 @@
-//! A client for the management of rockflow. `netconf::Client` speaks NETCONF over SSH or TLS; what it reads comes
+//! A client for the management of rockflow. `netconf::Client` speaks NETCONF over SSH or TLS, `gnmi::Client`
+//! gNMI; what they read comes
 //! as trees of the published model.
 
+pub mod gnmi;
 pub mod netconf;
 
 use std::fmt;
--- a/crates/rockflow-management/src/lib.rs
+++ b/crates/rockflow-management/src/lib.rs
@@ -20,4 +20,4 @@
     SessionId, Surroundings,
 };
 pub use membership::{Mark, Roll, Says};
-pub use subscription::{Subscription, Trigger, Update};
+pub use subscription::{Changed, Subscription, Trigger, Update};
--- a/crates/rockflow-management/src/subscription.rs
+++ b/crates/rockflow-management/src/subscription.rs
@@ -23,17 +23,24 @@
 pub enum Update {
     /// All that is followed, as it is now.
     Whole(BTreeMap<Path, Scalar>),
-    /// What has changed; none: it is gone. `merged` counts changes that a later one overtook.
-    Changes { changes: BTreeMap<Path, Option<Scalar>>, merged: u64 },
+    /// What has changed.
+    Changes(BTreeMap<Path, Changed>),
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changed {
+    /// None: it is gone.
+    pub value: Option<Scalar>,
+    /// Changes that this one overtook before it was sent.
+    pub overtook: u32,
 }
 
 #[derive(Debug)]
 pub struct Subscription {
     patterns: Vec<Pattern>,
     trigger: Trigger,
-    /// What has changed and was not sent, and how many changes were overtaken.
-    waiting: BTreeMap<Path, Option<Scalar>>,
-    merged: u64,
+    /// What has changed and was not sent.
+    waiting: BTreeMap<Path, Changed>,
     /// The whole is owed.
     whole: bool,
     /// What was sent last, where what has not changed is left out.
@@ -49,7 +56,6 @@
             patterns,
             trigger,
             waiting: BTreeMap::new(),
-            merged: 0,
             whole: !updates_only,
             sent: BTreeMap::new(),
             last: None,
@@ -72,9 +78,9 @@
             return;
         }
         for change in changes.iter().filter(|change| self.patterns.iter().any(|p| p.holds(&change.path))) {
-            if self.waiting.insert(change.path.clone(), change.after.clone()).is_some() {
-                self.merged += 1;
-            }
+            let overtook = self.waiting.get(&change.path).map_or(0, |old| old.overtook + 1);
+            let changed = Changed { value: change.after.clone(), overtook };
+            self.waiting.insert(change.path.clone(), changed);
         }
         if self.waiting.len() > MOST_WAITING {
             self.waiting.clear();
@@ -115,8 +121,7 @@
                     self.waiting.clear();
                     return Some(Update::Whole(self.picture(present())));
                 }
-                let merged = std::mem::take(&mut self.merged);
-                Some(Update::Changes { changes: std::mem::take(&mut self.waiting), merged })
+                Some(Update::Changes(std::mem::take(&mut self.waiting)))
             }
             Trigger::Periodic { suppress, heartbeat, .. } => {
                 if first && !self.whole {
@@ -133,13 +138,14 @@
                     return Some(Update::Whole(picture));
                 }
                 let old = std::mem::replace(&mut self.sent, picture.clone());
-                let mut changes: BTreeMap<Path, Option<Scalar>> = BTreeMap::new();
+                let mut changes = BTreeMap::new();
                 for path in old.keys().filter(|path| !picture.contains_key(*path)) {
-                    changes.insert(path.clone(), None);
+                    changes.insert(path.clone(), Changed::default());
                 }
                 let new = picture.into_iter().filter(|(path, value)| old.get(path) != Some(value));
-                changes.extend(new.map(|(path, value)| (path, Some(value))));
-                (!changes.is_empty()).then_some(Update::Changes { changes, merged: 0 })
+                let changed = |value| Changed { value: Some(value), overtook: 0 };
+                changes.extend(new.map(|(path, value)| (path, changed(value))));
+                (!changes.is_empty()).then_some(Update::Changes(changes))
             }
         }
     }
--- a/crates/rockflow-management/tests/followers.rs
+++ b/crates/rockflow-management/tests/followers.rs
@@ -21,9 +21,11 @@
     Subscription::new(vec![pattern], trigger, false, at(0))
 }
 
-fn changed(update: Option<Update>) -> (usize, u64) {
+fn changed(update: Option<Update>) -> (usize, u32) {
     match update {
-        Some(Update::Changes { changes, merged }) => (changes.len(), merged),
+        Some(Update::Changes(changes)) => {
+            (changes.len(), changes.values().map(|changed| changed.overtook).sum())
+        }
         other => panic!("{other:?}"),
     }
 }
--- a/crates/rockflow-netconf/src/notify.rs
+++ b/crates/rockflow-netconf/src/notify.rs
@@ -122,13 +122,14 @@
             out.close("datastore-contents");
             out.close("push-update");
         }
-        Update::Changes { changes, .. } => {
+        Update::Changes(changes) => {
             out.open("push-change-update", &[("xmlns", ns::PUSH)]);
             out.leaf("id", &[], &id.to_string());
             out.open("datastore-changes", &[]);
             out.open("yang-patch", &[]);
             out.leaf("patch-id", &[], &format!("{id}-{}", at.as_millis()));
-            for (number, (path, value)) in changes.into_iter().enumerate() {
+            for (number, (path, changed)) in changes.into_iter().enumerate() {
+                let value = changed.value;
                 out.open("edit", &[]);
                 out.leaf("edit-id", &[], &format!("edit{}", number + 1));
                 out.leaf("operation", &[], if value.is_some() { "replace" } else { "delete" });
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -604,9 +604,8 @@
         };
         Some(match update {
             Update::Whole(all) => Update::Whole(all.into_iter().filter(|(path, _)| may(path)).collect()),
-            Update::Changes { changes, merged } => {
-                let changes = changes.into_iter().filter(|(path, _)| may(path)).collect();
-                Update::Changes { changes, merged }
+            Update::Changes(changes) => {
+                Update::Changes(changes.into_iter().filter(|(path, _)| may(path)).collect())
             }
         })
     }
