--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -1,6 +1,7 @@
 mod log;
+mod manage;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 use rockflow_agent::Agent;
 use rockflow_dispatcher::{Clock, Service, Told};
 use rockflow_operator::{file, OperatorFile};
@@ -44,6 +45,10 @@
         #[command(flatten)]
         told: Source,
     },
+    /// Read and change a running dispatcher over NETCONF or gNMI
+    Manage(Box<manage::Line>),
+    /// Print what a shell needs to complete these commands
+    Completion { shell: clap_complete::Shell },
 }
 
 /// Where a dispatcher finds what it is told.
@@ -67,6 +72,11 @@
     let result = match Line::parse().command {
         Command::Serve { told, log } => serve(&told, log),
         Command::Check { told } => check(&told),
+        Command::Manage(line) => return manage::run(&line),
+        Command::Completion { shell } => {
+            clap_complete::generate(shell, &mut Line::command(), "rockflow", &mut std::io::stdout());
+            Ok(())
+        }
         Command::Version => {
             println!("rockflow {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/rockflow-gnmi/src/server.rs
+++ b/crates/rockflow-gnmi/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::service::{Peer, Service};
 use crate::wire::g_nmi_server::GNmiServer;
-use rockflow_operator::{secrets, Desk, GnmiPart};
+use rockflow_operator::{secrets, Desk, Doorway, GnmiPart};
 use std::net::{SocketAddr, TcpListener as Listener};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -19,6 +19,7 @@
 
 /// Connections at once, and the time that one is given to prove who it is.
 const MOST_CONNECTIONS: usize = 128;
+const MOST_UNPROVED: usize = 32;
 const HANDSHAKE: Duration = Duration::from_secs(10);
 /// Calls at once on one connection.
 const MOST_STREAMS: u32 = 64;
@@ -129,7 +130,7 @@
 }
 
 async fn accept(listener: TcpListener, acceptor: TlsAcceptor, proved: mpsc::Sender<std::io::Result<Proved>>) {
-    let connections = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    let (connections, doorway) = (Arc::new(Semaphore::new(MOST_CONNECTIONS)), Doorway::new(MOST_UNPROVED));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(come) => come,
@@ -139,14 +140,16 @@
                 continue;
             }
         };
-        let Ok(permit) = connections.clone().try_acquire_owned() else {
-            info!(%from, "too many gnmi connections at once");
-            continue;
-        };
         let (acceptor, proved) = (acceptor.clone(), proved.clone());
+        let (connections, unproved) = (connections.clone(), doorway.admit());
         tokio::spawn(async move {
             let _ = stream.set_nodelay(true);
-            let stream = match tokio::time::timeout(HANDSHAKE, acceptor.accept(stream)).await {
+            let shaken = tokio::select! {
+                shaken = tokio::time::timeout(HANDSHAKE, acceptor.accept(stream)) => shaken,
+                () = unproved.evicted() => return info!(%from, "gave way to another handshake"),
+            };
+            drop(unproved);
+            let stream = match shaken {
                 Ok(Ok(stream)) => stream,
                 Ok(Err(what)) => return info!(%from, %what, "tls handshake"),
                 Err(_) => return info!(%from, "tls handshake not done in time"),
@@ -155,6 +158,9 @@
             let Some(user) = certificates.and_then(|all| secrets::user_of(all.first()?)) else {
                 return info!(%from, "the certificate names no user");
             };
+            let Ok(permit) = connections.try_acquire_owned() else {
+                return info!(%from, "too many gnmi connections at once");
+            };
             let peer = Peer { user, from };
             let _ = proved.send(Ok(Proved { stream, peer, _permit: permit })).await;
         });
--- a/crates/rockflow-netconf/src/server.rs
+++ b/crates/rockflow-netconf/src/server.rs
@@ -6,12 +6,11 @@
 use crate::session::{self, Bounds};
 use crate::ssh::{self, Ssh};
 use rockflow_management::{Operator, Protocol};
-use rockflow_operator::{secrets, Desk, NetconfPart};
+use rockflow_operator::{secrets, Desk, Doorway, NetconfPart, Unproved};
 use std::net::{SocketAddr, TcpListener as Listener};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tracing::{info, warn};
 
@@ -83,22 +82,25 @@
         };
         let started = desk.now();
         let server = Arc::new(rpc::Server { desk, counts: Counts::default(), started });
-        let handshakes = Arc::new(Semaphore::new(part.handshakes as usize));
-        if let (Some((listener, config)), Some(keys)) = (ssh, part.authorized_keys) {
+        // One for each listener, so that a flood at one keeps nobody out of the other.
+        let doorway = || Doorway::new(part.handshakes as usize);
+        if let (Some((listener, config)), Some(keys)) = (ssh, part.authorized_keys.clone()) {
             let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
             let ssh = Arc::new(Ssh { server: server.clone(), keys, bounds, config });
-            let handshakes = handshakes.clone();
-            tokio::spawn(accept(listener, handshakes, move |stream, from, permit| {
-                tokio::spawn(ssh::serve(ssh.clone(), stream, from, permit));
+            tokio::spawn(accept(listener, doorway(), move |stream, from, unproved| {
+                tokio::spawn(ssh::serve(ssh.clone(), stream, from, unproved));
             }));
         }
         if let Some((listener, acceptor)) = tls {
             let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
-            tokio::spawn(accept(listener, handshakes, move |stream, from, permit| {
+            tokio::spawn(accept(listener, doorway(), move |stream, from, unproved| {
                 let (acceptor, server) = (acceptor.clone(), server.clone());
                 tokio::spawn(async move {
-                    let shaken = tokio::time::timeout(bounds.hello, acceptor.accept(stream)).await;
-                    drop(permit);
+                    let shaken = tokio::select! {
+                        shaken = tokio::time::timeout(bounds.hello, acceptor.accept(stream)) => shaken,
+                        () = unproved.evicted() => return info!(%from, "gave way to another handshake"),
+                    };
+                    drop(unproved);
                     let stream = match shaken {
                         Ok(Ok(stream)) => stream,
                         Ok(Err(what)) => return info!(%from, %what, "tls handshake"),
@@ -119,11 +121,7 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    handshakes: Arc<Semaphore>,
-    serve: impl Fn(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit),
-) {
+async fn accept(listener: TcpListener, doorway: Doorway, serve: impl Fn(TcpStream, SocketAddr, Unproved)) {
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(come) => come,
@@ -133,14 +131,7 @@
                 continue;
             }
         };
-        // Guards against handshakes by the hundred: past the cap a connection ends at once, so that those who
-        // can prove who they are need not wait behind it.
-        match handshakes.clone().try_acquire_owned() {
-            Ok(permit) => {
-                let _ = stream.set_nodelay(true);
-                serve(stream, from, permit);
-            }
-            Err(_) => info!(%from, "too many handshakes at once"),
-        }
+        let _ = stream.set_nodelay(true);
+        serve(stream, from, doorway.admit());
     }
 }
--- a/crates/rockflow-netconf/src/ssh.rs
+++ b/crates/rockflow-netconf/src/ssh.rs
@@ -4,7 +4,7 @@
 use crate::rpc::Server;
 use crate::session::{self, Bounds};
 use rockflow_management::{Operator, Protocol};
-use rockflow_operator::secrets;
+use rockflow_operator::{secrets, Unproved};
 use russh::keys::ssh_key::{AuthorizedKeys, PublicKey};
 use russh::keys::PrivateKey;
 use russh::server::{Auth, ChannelOpenHandle, Handler, Msg, Session, VerifiedPublicKey};
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::sync::oneshot;
 use tracing::{info, warn};
 
 /// Sessions on one connection.
@@ -148,8 +148,8 @@
     }
 }
 
-/// Serves one connection. The permit is one of those for peers that have not proved who they are.
-pub async fn serve(ssh: Arc<Ssh>, stream: TcpStream, from: SocketAddr, permit: OwnedSemaphorePermit) {
+/// Serves one connection, which is one of those that have not proved who they are until it has.
+pub async fn serve(ssh: Arc<Ssh>, stream: TcpStream, from: SocketAddr, unproved: Unproved) {
     let (proved, wait) = oneshot::channel();
     let peer = Peer {
         ssh: ssh.clone(),
@@ -160,30 +160,27 @@
         sessions: 0,
     };
     let limit = ssh.bounds.hello;
-    let running = match tokio::time::timeout(
-        limit,
-        russh::server::run_stream(ssh.config.clone(), stream, peer),
-    )
-    .await
-    {
-        Ok(Ok(running)) => running,
-        Ok(Err(what)) => {
-            info!(%from, %what, "ssh handshake");
-            return;
-        }
-        Err(_) => {
-            info!(%from, "ssh handshake not done in time");
-            return;
-        }
+    let begun = russh::server::run_stream(ssh.config.clone(), stream, peer);
+    let running = tokio::select! {
+        begun = tokio::time::timeout(limit, begun) => match begun {
+            Ok(Ok(running)) => running,
+            Ok(Err(what)) => return info!(%from, %what, "ssh handshake"),
+            Err(_) => return info!(%from, "ssh handshake not done in time"),
+        },
+        () = unproved.evicted() => return info!(%from, "gave way to another handshake"),
     };
     let handle = running.handle();
     let watch = async move {
         // Guards against connections that shake hands and never prove who they are.
-        if tokio::time::timeout(limit, wait).await.is_err() {
+        let proved = tokio::select! {
+            proved = tokio::time::timeout(limit, wait) => proved.is_ok_and(|told| told.is_ok()),
+            () = unproved.evicted() => false,
+        };
+        drop(unproved);
+        if !proved {
             info!(%from, "ssh peer did not prove who it is in time");
             let _ = handle.disconnect(russh::Disconnect::ByApplication, String::new(), String::new()).await;
         }
-        drop(permit);
         std::future::pending::<()>().await
     };
     tokio::select! {
--- /dev/null
+++ b/crates/rockflow-netconf/tests/framing.rs
@@ -0,0 +1,64 @@
+//! Messages on a stream, in parts of every size.
+
+use rockflow_netconf::framing::{encode, Framing, FramingFault};
+use test_case::test_case;
+
+fn parts(framing: &mut Framing, bytes: &[u8], size: usize) -> Result<Vec<String>, FramingFault> {
+    let mut all = Vec::new();
+    for part in bytes.chunks(size) {
+        framing.add(part);
+        while let Some(message) = framing.take()? {
+            all.push(String::from_utf8(message).unwrap());
+        }
+    }
+    Ok(all)
+}
+
+#[test]
+fn messages_come_out_whole_however_they_are_cut() {
+    let messages = ["<a/>", "<b>]]></b>", "<c>\n#3\n</c>"];
+    for chunked in [false, true] {
+        let bytes: Vec<u8> = messages.iter().flat_map(|message| encode(message, chunked)).collect();
+        for size in 1..bytes.len() {
+            let mut framing = Framing::new(100);
+            if chunked {
+                framing.chunked();
+            }
+            assert_eq!(parts(&mut framing, &bytes, size).unwrap(), messages, "{chunked} {size}");
+            assert_eq!(framing.held(), 0);
+        }
+    }
+}
+
+#[test]
+fn a_message_may_come_in_many_chunks_and_the_framing_may_change_between_two() {
+    let mut framing = Framing::new(100);
+    framing.add(b"<hello/>]]>]]>\n#1\n<\n#3\na/>\n##\n");
+    assert_eq!(framing.take().unwrap().unwrap(), b"<hello/>");
+    framing.chunked();
+    assert_eq!(framing.take().unwrap().unwrap(), b"<a/>");
+    assert_eq!(framing.take().unwrap(), None);
+}
+
+#[test_case(b"\n#4294967295\n", FramingFault::TooLarge(100); "a chunk that says to be huge")]
+#[test_case(b"\n#60\n012345678901234567890123456789012345678901234567890123456789\n#60\n", FramingFault::TooLarge(100); "too much in parts")]
+#[test_case(b"\n#0\n", FramingFault::NotAChunk; "none")]
+#[test_case(b"\n#01\n", FramingFault::NotAChunk; "a leading nought")]
+#[test_case(b"\n##\n", FramingFault::NotAChunk; "an end of nothing")]
+#[test_case(b"x", FramingFault::NotAChunk; "something else")]
+#[test_case(b"\n#12345678901234567890", FramingFault::NotAChunk; "digits without end")]
+fn lies_are_told_at_once(bytes: &[u8], fault: FramingFault) {
+    let mut framing = Framing::new(100);
+    framing.chunked();
+    assert_eq!(parts(&mut framing, bytes, 3), Err(fault));
+}
+
+#[test]
+fn what_never_ends_is_not_held_past_the_cap() {
+    let mut framing = Framing::new(100);
+    let ended = (0..20).find_map(|_| {
+        framing.add(&[b'x'; 10]);
+        framing.take().err()
+    });
+    assert_eq!(ended, Some(FramingFault::TooLarge(100)));
+}
--- /dev/null
+++ b/crates/rockflow-operator/src/doorway.rs
@@ -0,0 +1,92 @@
+//! Peers that have not proved who they are: so many at once, and past that the one that has taken longest gives
+//! way, so that handshakes left half open by the hundred keep nobody out who can prove it at once.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Waiting {
+    next: u64,
+    all: BTreeMap<u64, Arc<Notify>>,
+}
+
+#[derive(Clone)]
+pub struct Doorway {
+    most: usize,
+    waiting: Arc<Mutex<Waiting>>,
+}
+
+/// One that has not proved who it is, as long as this lives.
+pub struct Unproved {
+    doorway: Doorway,
+    number: u64,
+    evicted: Arc<Notify>,
+}
+
+impl Doorway {
+    pub fn new(most: usize) -> Doorway {
+        Doorway { most: most.max(1), waiting: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn admit(&self) -> Unproved {
+        let mut waiting = self.lock();
+        while waiting.all.len() >= self.most {
+            if let Some((_, oldest)) = waiting.all.pop_first() {
+                // Kept for one that does not wait for it yet.
+                oldest.notify_one();
+            }
+        }
+        let (number, evicted) = (waiting.next, Arc::new(Notify::new()));
+        waiting.next += 1;
+        waiting.all.insert(number, evicted.clone());
+        drop(waiting);
+        Unproved { doorway: self.clone(), number, evicted }
+    }
+
+    pub fn len(&self) -> usize {
+        self.lock().all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Unproved {
+    /// Waits till another takes its place.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+}
+
+impl Drop for Unproved {
+    fn drop(&mut self) {
+        self.doorway.lock().all.remove(&self.number);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn the_oldest_gives_way_and_the_proved_leave_their_place() {
+        let doorway = Doorway::new(2);
+        let (first, second) = (doorway.admit(), doorway.admit());
+        drop(second);
+        let third = doorway.admit();
+        assert_eq!(doorway.len(), 2);
+        let _fourth = doorway.admit();
+        first.evicted().await;
+        assert_eq!(doorway.len(), 2);
+        let _fifth = doorway.admit();
+        third.evicted().await;
+        drop((first, third));
+        assert_eq!(doorway.len(), 2);
+    }
+}
--- a/crates/rockflow-operator/src/lib.rs
+++ b/crates/rockflow-operator/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod audit;
 pub mod desk;
+pub mod doorway;
 pub mod file;
 pub mod secrets;
 pub mod state;
 
 pub use desk::{Asker, Desk, Event, Opened};
+pub use doorway::{Doorway, Unproved};
 pub use file::{Fault, GnmiPart, ManagementPart, NetconfPart, OperatorFile, TlsPart};
--- /dev/null
+++ b/crates/rockflow-rig/src/cost.rs
@@ -0,0 +1,116 @@
+//! What management costs: rounds of off, on and idle, on with subscribers, in turn, each against the same
+//! stand-ins; figures as ratios to off in the same round.
+
+use crate::process::{Dispatcher, Held};
+use crate::Rows;
+use rockflow_stand_ins::{Load, Site};
+use rockflow_yang::Schema;
+use serde_json::json;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const WARM: Duration = Duration::from_millis(700);
+const PERIOD: Duration = Duration::from_millis(100);
+const KINDS: [&str; 3] = ["off", "idle", "subscribers"];
+
+struct Measured {
+    a_second: f64,
+    p99: Duration,
+    /// After the start, and under load.
+    idle: Held,
+    busy: Held,
+    /// Messages that subscribers were told a second.
+    told: f64,
+}
+
+async fn one(
+    program: &Path,
+    kind: &str,
+    seconds: f64,
+    clients: usize,
+    subscribers: usize,
+    seed: u64,
+) -> Measured {
+    let site = Site::start(4, 2, Duration::from_millis(1));
+    site.hosts.values().for_each(|host| host.keep(false));
+    let dispatcher = Dispatcher::start(program, &site, kind != "off").await;
+    let told = Arc::new(AtomicU64::new(0));
+    if kind == "subscribers" {
+        let schema = Schema::published();
+        // A session for each, past the usual cap on them.
+        let most = json!((subscribers + 8).clamp(1, 256));
+        let mut root = dispatcher.gnmi().await;
+        let path = "/router/management/most-sessions";
+        root.set(&schema, &[], &[], &[(path, most)]).await.expect("a set");
+        let paths = ["/router/state/hosts/host".to_string()];
+        for _ in 0..subscribers {
+            let mut client = dispatcher.gnmi().await;
+            let mut stream = client.follow(&schema, &paths, Some(PERIOD)).await.expect("a subscription");
+            let told = told.clone();
+            tokio::spawn(async move {
+                let _client = client;
+                while let Ok(Some(_)) = stream.message().await {
+                    told.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+    }
+    tokio::time::sleep(WARM).await;
+    let idle = dispatcher.held();
+    let before = told.load(Ordering::Relaxed);
+    let begun = Instant::now();
+    let load = Load::start(dispatcher.address, clients, Duration::ZERO, seed);
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+    let busy = dispatcher.held();
+    let told = (told.load(Ordering::Relaxed) - before) as f64 / begun.elapsed().as_secs_f64();
+    // In a thread of its own: the subscribers must go on being read.
+    let tally = tokio::task::spawn_blocking(move || load.stop()).await.expect("a tally");
+    let a_second = tally.answered() as f64 / begun.elapsed().as_secs_f64();
+    Measured { a_second, p99: tally.within(0.99), idle, busy, told }
+}
+
+pub async fn run(
+    program: &Path,
+    rounds: usize,
+    seconds: f64,
+    clients: usize,
+    subscribers: usize,
+    rows: &mut Rows,
+) -> bool {
+    println!("{rounds} rounds of {seconds} s, {clients} clients without a pause, {subscribers} subscribers at 10 Hz");
+    let mut all: Vec<Vec<Measured>> = (0..KINDS.len()).map(|_| Vec::new()).collect();
+    for round in 0..rounds {
+        for (place, kind) in KINDS.iter().enumerate() {
+            let found = one(program, kind, seconds, clients, subscribers, round as u64 + 1).await;
+            rows.write(&json!({"round": round, "kind": kind, "queries_a_second": found.a_second,
+                "p99_us": found.p99.as_micros() as u64, "idle_rss_kb": found.idle.rss_kb, "busy_rss_kb": found.busy.rss_kb,
+                "threads": found.busy.threads, "idle_descriptors": found.idle.descriptors, "told_a_second": found.told}));
+            all[place].push(found);
+        }
+    }
+    let median = |mut values: Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        values[values.len() / 2]
+    };
+    println!("| kind | queries, ratio to off | p99, ratio to off | memory idle, MB | busy, MB | threads | descriptors idle | told a second |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (place, kind) in KINDS.iter().enumerate() {
+        let ratio = |value: &dyn Fn(&Measured) -> f64| {
+            median(all[place].iter().zip(&all[0]).map(|(one, off)| value(one) / value(off)).collect())
+        };
+        let middle = |value: &dyn Fn(&Measured) -> f64| median(all[place].iter().map(value).collect());
+        println!(
+            "| {kind} | {:.3} | {:.3} | {:.1} | {:.1} | {} | {} | {:.0} |",
+            ratio(&|one| one.a_second),
+            ratio(&|one| one.p99.as_secs_f64()),
+            middle(&|one| one.idle.rss_kb as f64 / 1024.0),
+            middle(&|one| one.busy.rss_kb as f64 / 1024.0),
+            middle(&|one| one.busy.threads as f64),
+            middle(&|one| one.idle.descriptors as f64),
+            middle(&|one| one.told),
+        );
+    }
+    true
+}
--- /dev/null
+++ b/crates/rockflow-rig/src/process.rs
@@ -0,0 +1,127 @@
+//! A dispatcher as a process of its own among stand-ins, so that what it holds is its own.
+
+use rockflow_manage::{gnmi, netconf};
+use rockflow_stand_ins::{keys, Site};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+const EXAMPLE: &str = include_str!("../../../deploy/example.json");
+
+pub struct Dispatcher {
+    child: Child,
+    pub address: SocketAddr,
+    ssh: SocketAddr,
+    gnmi: SocketAddr,
+    authority: keys::Authority,
+    _folder: keys::Folder,
+}
+
+/// A port that was free just now.
+fn port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+}
+
+/// What the kernel tells of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    pub rss_kb: u64,
+    pub threads: u64,
+    pub descriptors: usize,
+}
+
+impl Dispatcher {
+    /// Starts the program for that site; `managed`: with all fronts on.
+    pub async fn start(program: &Path, site: &Site, managed: bool) -> Dispatcher {
+        let folder = keys::Folder::new("measured");
+        let (address, ssh, gnmi) = (port(), port(), port());
+        let mut value = site.configuration(EXAMPLE);
+        value["listen"] = serde_json::json!(address.to_string());
+        let config = folder.write("config.json", &value.to_string(), 0o600);
+        let authority = keys::Authority::new("rig");
+        let (certificate, key) = authority.server();
+        folder.write("server.pem", &certificate, 0o600);
+        folder.write("server.key", &key, 0o600);
+        folder.write("ca.pem", &authority.certificate, 0o600);
+        folder.write("host", &keys::texts(&keys::ssh(1)).0, 0o600);
+        std::fs::create_dir_all(folder.file("users")).expect("a folder");
+        folder.write("users/root", &keys::texts(&keys::ssh(2)).1, 0o600);
+        let at = |name: &str| folder.file(name).display().to_string();
+        let operator = format!(
+            "[management]\nowner = root\nstore = {}\n[netconf]\nssh = {ssh}\nhost-key = {}\n\
+             authorized-keys = {}\n[gnmi]\nlisten = {gnmi}\ncertificate = {}\nkey = {}\nclient-ca = {}\n\
+             subscribers = 200\n",
+            at("store"),
+            at("host"),
+            at("users"),
+            at("server.pem"),
+            at("server.key"),
+            at("ca.pem"),
+        );
+        let operator = folder.write("rockflow.ini", &operator, 0o600);
+        let log = std::fs::File::create(folder.file("log")).expect("a log");
+        let mut command = Command::new(program);
+        command.args(["serve", "--config"]).arg(&config).stdin(Stdio::null());
+        command.stdout(Stdio::null()).stderr(log).env_remove("GW_LISTEN").env_remove("GW_NAME");
+        if managed {
+            command.arg("--operator").arg(&operator);
+        }
+        let child = command.spawn().expect("the program starts");
+        let dispatcher = Dispatcher { child, address, ssh, gnmi, authority, _folder: folder };
+        for _ in 0..500 {
+            if tokio::net::TcpStream::connect(address).await.is_ok() {
+                return dispatcher;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the program does not listen: {}", dispatcher.log());
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self._folder.file("log")).unwrap_or_default()
+    }
+
+    pub async fn netconf(&self) -> netconf::Client {
+        let host = keys::ssh(1).public_key().clone();
+        let client = netconf::Client::ssh(&self.ssh.to_string(), "root", keys::ssh(2), host).await;
+        client.expect("a session")
+    }
+
+    pub async fn gnmi(&self) -> gnmi::Client {
+        use rustls::pki_types::pem::PemObject;
+        use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+        let (certificate, key) = self.authority.client("root");
+        let mut roots = rustls::RootCertStore::empty();
+        let ca =
+            CertificateDer::from_pem_slice(self.authority.certificate.as_bytes()).expect("a certificate");
+        roots.add(ca).expect("an authority");
+        let chain = CertificateDer::from_pem_slice(certificate.as_bytes()).expect("a certificate");
+        let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).expect("a key");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = rustls::ClientConfig::builder_with_provider(provider);
+        let config = config.with_safe_default_protocol_versions().expect("versions");
+        let config = config.with_root_certificates(roots).with_client_auth_cert(vec![chain], key);
+        let config = Arc::new(config.expect("a client"));
+        gnmi::Client::connect(&self.gnmi.to_string(), "localhost", config).await.expect("a connection")
+    }
+
+    pub fn held(&self) -> Held {
+        let folder = format!("/proc/{}", self.child.id());
+        let status = std::fs::read_to_string(format!("{folder}/status")).unwrap_or_default();
+        let number = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        };
+        let descriptors = std::fs::read_dir(format!("{folder}/fd")).map_or(0, Iterator::count);
+        Held { rss_kb: number("VmRSS:"), threads: number("Threads:"), descriptors }
+    }
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/rockflow-stand-ins/src/lib.rs
+++ b/crates/rockflow-stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod host;
 pub mod keys;
 pub mod load;
+pub mod memory;
 pub mod site;
 
 pub use board::Board;
--- /dev/null
+++ b/crates/rockflow-stand-ins/src/memory.rs
@@ -0,0 +1,47 @@
+//! An allocator that counts what is held, for tests that bound it.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// To be named as `#[global_allocator]` by a test.
+pub struct Counting {
+    held: AtomicUsize,
+    most: AtomicUsize,
+}
+
+impl Counting {
+    pub const fn new() -> Counting {
+        Counting { held: AtomicUsize::new(0), most: AtomicUsize::new(0) }
+    }
+
+    /// From now on the greatest counts anew; what is held now is the base.
+    pub fn mark(&self) -> usize {
+        let held = self.held.load(Ordering::Relaxed);
+        self.most.store(held, Ordering::Relaxed);
+        held
+    }
+
+    pub fn most(&self) -> usize {
+        self.most.load(Ordering::Relaxed)
+    }
+}
+
+impl Default for Counting {
+    fn default() -> Counting {
+        Counting::new()
+    }
+}
+
+// Safe: every call goes to the system's allocator as it came.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        let held = self.held.fetch_add(layout.size(), Ordering::Relaxed) + layout.size();
+        self.most.fetch_max(held, Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        self.held.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(at, layout) }
+    }
+}
--- a/crates/rockflow-yang/src/data.rs
+++ b/crates/rockflow-yang/src/data.rs
@@ -430,7 +430,18 @@
     }
 }
 
-/// The part that the pattern names, with what leads to it. `most` bounds the values that are taken.
+/// Puts data at a path, state or not, with what leads to it.
+pub fn place_at(schema: &Schema, fields: &mut Fields, path: &Path, data: Data) {
+    match (place(schema, fields, &path.0), data) {
+        (Place::Entry(entry), Data::Container(inner)) => merge(entry, &inner),
+        (Place::Slot(holder, node), data) => {
+            holder.insert(node, data);
+        }
+        (Place::Entry(_), _) => {}
+    }
+}
+
+/// The part that the pattern names, with what leads to it.
 pub fn select(fields: &Fields, pattern: &Pattern) -> Fields {
     select_below(fields, &pattern.0)
 }
