--- a/crates/rockflow-netconf/tests/fuzz.rs
+++ b/crates/rockflow-netconf/tests/fuzz.rs
@@ -83,7 +83,7 @@
             2 => encode(seed, true),
             _ => encode(seed, false),
         };
-        if case / SEEDS.len() % 2 == 0 {
+        if (case / SEEDS.len()).is_multiple_of(2) {
             mutate_values(&mut bytes, &mut chance);
         } else {
             mutate(&mut bytes, &mut chance);
