--- /dev/null
+++ b/crates/rockflow-agent/tests/interop.rs
@@ -0,0 +1,102 @@
+//! The server against a NETCONF client that is not ours: its framing, hellos, replies and errors.
+
+mod common;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use common::{block_on, Rig};
+use netconf::error::SshMessages;
+use netconf::{Access, ConfigPolicy, ConnectOptions, NetconfError, NetconfSession, NetconfTransport};
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_rustls::client::TlsStream;
+
+struct Carried(TlsStream<TcpStream>);
+
+fn broken(what: impl std::fmt::Display) -> NetconfError {
+    NetconfError::Protocol { detail: what.to_string(), received: None }
+}
+
+#[async_trait]
+impl NetconfTransport for Carried {
+    async fn connect(_: &ConnectOptions) -> Result<Self, NetconfError> {
+        Err(broken("connected already"))
+    }
+
+    async fn send(&mut self, bytes: &[u8]) -> Result<(), NetconfError> {
+        self.0.write_all(bytes).await.map_err(broken)?;
+        self.0.flush().await.map_err(broken)
+    }
+
+    async fn recv(&mut self) -> Result<Bytes, NetconfError> {
+        let mut buffer = vec![0; 4096];
+        let n = self.0.read(&mut buffer).await.map_err(broken)?;
+        buffer.truncate(n);
+        Ok(buffer.into())
+    }
+
+    async fn close(mut self) -> Result<SshMessages, NetconfError> {
+        let _ = self.0.shutdown().await;
+        Ok(SshMessages::default())
+    }
+}
+
+async fn session(rig: &Rig, chunked: bool) -> NetconfSession<Carried> {
+    let stream = TcpStream::connect(rig.addresses.tls.unwrap()).await.unwrap();
+    let connector = tokio_rustls::TlsConnector::from(rig.tls_config(&rig.authority, "root"));
+    let name = rustls::pki_types::ServerName::try_from("localhost").unwrap();
+    let stream = connector.connect(name, stream).await.unwrap();
+    let mut session = NetconfSession::establish(Carried(stream), chunked).await.unwrap();
+    session.set_policy(ConfigPolicy::all_free(Access::Rwd));
+    session
+}
+
+// This client tells base:1.1 under a name that is not the RFC's, so that both speak 1.0; its framing is tried below.
+#[test_case(true; "that tells 1.1")]
+#[test_case(false; "that tells 1.0")]
+fn another_client_reads_edits_commits_and_hears_errors(chunked: bool) {
+    let rig = Rig::start(3, 1, Duration::from_millis(1));
+    block_on(async {
+        let mut other = session(&rig, chunked).await;
+        assert!(other.capabilities().iter().any(|one| one.contains("confirmed-commit:1.1")));
+        assert!(other.capabilities().iter().any(|one| one.contains("module=rockflow-router")));
+        let edit = "<edit-config><target><candidate/></target><config><router xmlns=\"urn:rockflow:yang:router\">\
+                    <marks><mark><host>c1</host><reason>theirs</reason></mark></marks></router></config></edit-config>";
+        other.rpc(edit).await.unwrap();
+        other.rpc("<validate><source><candidate/></source></validate>").await.unwrap();
+        other.rpc("<commit/>").await.unwrap();
+        let running = other.rpc("<get-config><source><running/></source></get-config>").await.unwrap();
+        assert!(running.contains("<reason>theirs</reason>"), "{running}");
+        let state =
+            "<get><filter type=\"subtree\"><router xmlns=\"urn:rockflow:yang:router\"><state><hosts><host>\
+                     <name>c1</name><effective/></host></hosts></state></router></filter></get>";
+        let state = other.rpc(state).await.unwrap();
+        assert!(state.contains("<effective>draining</effective>"), "{state}");
+        let refused = other.rpc("<lock><target><nowhere/></target></lock>").await;
+        assert!(
+            matches!(&refused, Err(NetconfError::Device(what)) if format!("{what:?}").contains("operation-not-supported")),
+            "{refused:?}"
+        );
+        other.rpc("<discard-changes/>").await.unwrap();
+        other.close().await.unwrap();
+        // Ours sees what theirs did.
+        let mut root = rig.ssh("root").await;
+        assert_eq!(rig.host_state(&mut root, "c1").await["says"], "operator");
+    });
+}
+
+#[test]
+fn chunks_are_read_by_another_decoder_and_another_encoder_s_by_ours() {
+    use rockflow_netconf::framing as ours;
+    for message in ["<a/>", "<b>]]>]]></b>", "<c>\n#3\n</c>", &"x".repeat(70_000)] {
+        let mut theirs = netconf::Decoder::new(netconf::Framing::Chunked);
+        theirs.push(&ours::encode(message, true));
+        assert_eq!(theirs.next_message().unwrap().as_deref(), Some(message.as_bytes()));
+        let mut mine = ours::Framing::new(100_000);
+        mine.chunked();
+        mine.add(&netconf::framing::encode(netconf::Framing::Chunked, message.as_bytes()));
+        assert_eq!(mine.take().unwrap().as_deref(), Some(message.as_bytes()));
+    }
+}
--- a/crates/rockflow-cli/src/manage/peer.rs
+++ b/crates/rockflow-cli/src/manage/peer.rs
@@ -87,7 +87,12 @@
 
 pub enum Peer {
     Netconf(Box<netconf::Client>),
-    Gnmi { client: gnmi::Client, follows: Option<Streaming<wire::SubscribeResponse>> },
+    Gnmi(Box<Grpc>),
+}
+
+pub struct Grpc {
+    client: gnmi::Client,
+    follows: Option<Streaming<wire::SubscribeResponse>>,
 }
 
 fn only_netconf() -> Trouble {
@@ -108,7 +113,7 @@
             }
             Over::Gnmi => {
                 let client = gnmi::Client::connect(at, &trust.server_name, trust.tls()?).await?;
-                Peer::Gnmi { client, follows: None }
+                Peer::Gnmi(Box::new(Grpc { client, follows: None }))
             }
         })
     }
@@ -125,11 +130,11 @@
                 let fields = client.get(schema, datastore, paths).await?;
                 Ok(json::write(schema, &fields))
             }
-            Peer::Gnmi { client, .. } => {
+            Peer::Gnmi(grpc) => {
                 if datastore != "operational" {
                     return Err(only_netconf());
                 }
-                let found = client.get(schema, paths).await?;
+                let found = grpc.client.get(schema, paths).await?;
                 let mut fields = Fields::new();
                 for (text, value) in &found {
                     match put(schema, text, value) {
@@ -153,8 +158,8 @@
     ) -> Result<(), Trouble> {
         match self {
             Peer::Netconf(client) => client.follow(paths, period).await.map(|_| ()),
-            Peer::Gnmi { client, follows } => {
-                *follows = Some(client.follow(schema, paths, period).await?);
+            Peer::Gnmi(grpc) => {
+                grpc.follows = Some(grpc.client.follow(schema, paths, period).await?);
                 Ok(())
             }
         }
@@ -168,8 +173,8 @@
                 let told = client.notification().await?;
                 Ok(pushed(schema, &told))
             }
-            Peer::Gnmi { follows, .. } => loop {
-                let stream = follows.as_mut().ok_or_else(ended)?;
+            Peer::Gnmi(grpc) => loop {
+                let stream = grpc.follows.as_mut().ok_or_else(ended)?;
                 let message = stream.message().await;
                 let message =
                     message.map_err(|what| Trouble::Connection(what.to_string()))?.ok_or_else(ended)?;
@@ -203,7 +208,7 @@
                 }
                 client.act(schema, "drain", &input).await.map(Some)
             }
-            Peer::Gnmi { client, .. } => {
+            Peer::Gnmi(grpc) => {
                 let mut mark = json!({"state": "draining"});
                 if let Some(reason) = reason {
                     mark["reason"] = json!(reason);
@@ -217,7 +222,7 @@
                     mark["force"] = json!(true);
                 }
                 let path = format!("/router/marks/mark[host='{host}']");
-                client.set(schema, &[], &[(&path, mark)], &[]).await.map(|_| None)
+                grpc.client.set(schema, &[], &[(&path, mark)], &[]).await.map(|_| None)
             }
         }
     }
@@ -225,9 +230,9 @@
     pub async fn undrain(&mut self, schema: &Schema, host: &str) -> Result<Option<u64>, Trouble> {
         match self {
             Peer::Netconf(client) => client.act(schema, "undrain", &[("host", host)]).await.map(Some),
-            Peer::Gnmi { client, .. } => {
+            Peer::Gnmi(grpc) => {
                 let path = format!("/router/marks/mark[host='{host}']");
-                client.set(schema, &[&path], &[], &[]).await.map(|_| None)
+                grpc.client.set(schema, &[&path], &[], &[]).await.map(|_| None)
             }
         }
     }
@@ -245,17 +250,15 @@
                 client.edit(schema, &fields).await?;
                 client.commit(within, persist, None).await
             }
-            Peer::Gnmi { .. } if within.is_some() => Err(only_netconf()),
-            Peer::Gnmi { client, .. } => {
-                client.set(schema, &[], &[], &[("/", value.clone())]).await.map(|_| ())
-            }
+            Peer::Gnmi(_) if within.is_some() => Err(only_netconf()),
+            Peer::Gnmi(grpc) => client.set(schema, &[], &[], &[("/", value.clone())]).await.map(|_| ()),
         }
     }
 
     fn netconf(&mut self) -> Result<&mut netconf::Client, Trouble> {
         match self {
             Peer::Netconf(client) => Ok(client),
-            Peer::Gnmi { .. } => Err(only_netconf()),
+            Peer::Gnmi(_) => Err(only_netconf()),
         }
     }
 
--- a/crates/rockflow-netconf/src/framing.rs
+++ b/crates/rockflow-netconf/src/framing.rs
@@ -37,6 +37,8 @@
     /// Bytes of the present chunk that are still to come.
     left: usize,
     within: bool,
+    /// The first chunk is still to come: clients end their hello with a line of their own.
+    fresh: bool,
 }
 
 impl Framing {
@@ -50,12 +52,14 @@
             message: Vec::new(),
             left: 0,
             within: false,
+            fresh: false,
         }
     }
 
     /// From the next message on, both sides speak in chunks.
     pub fn chunked(&mut self) {
         self.chunked = true;
+        self.fresh = true;
         self.looked = 0;
     }
 
@@ -102,6 +106,17 @@
     }
 
     fn take_chunks(&mut self) -> Result<Option<Vec<u8>>, FramingFault> {
+        if self.fresh {
+            // What leads to the first chunk's own line feed, and no more than such a line.
+            let lead = self.held.iter().take(2).take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+            let spare = match self.held.get(lead) {
+                Some(b'#') => lead.saturating_sub(1),
+                Some(_) => 0,
+                None => return Ok(None),
+            };
+            self.held.drain(..spare);
+            self.fresh = false;
+        }
         let (mut used, mut whole) = (0, false);
         while !whole {
             if self.left > 0 {
--- a/crates/rockflow-netconf/src/session.rs
+++ b/crates/rockflow-netconf/src/session.rs
@@ -58,6 +58,8 @@
         events: false,
     };
     let why = session.serve(bounds).await;
+    // TLS peers take an end without a word for an attack.
+    let _ = tokio::time::timeout(WRITE, session.stream.shutdown()).await;
     if !matches!(why, "closed" | "killed or silent") {
         Counts::add(&server.counts.dropped);
     }
@@ -298,12 +300,12 @@
         return Err("a client tells no session-id".to_string());
     }
     let told = hello.child("capabilities").ok_or("no capabilities")?;
-    let knows = |version: &str| {
-        told.children.iter().any(|one| one.text().split('?').next().is_some_and(|one| one.ends_with(version)))
-    };
-    if knows("netconf:base:1.1") {
+    // Whole names: there are clients that tell 1.1 under another's name, and then speak 1.0.
+    let knows = |name: &str| told.children.iter().any(|one| one.text().split('?').next() == Some(name));
+    let old = "urn:ietf:params:xml:ns:netconf:base:1.0";
+    if knows("urn:ietf:params:netconf:base:1.1") {
         Ok(true)
-    } else if knows("netconf:base:1.0") {
+    } else if knows("urn:ietf:params:netconf:base:1.0") || knows(old) {
         Ok(false)
     } else {
         Err("no base in common".to_string())
--- a/crates/rockflow-stand-ins/src/site.rs
+++ b/crates/rockflow-stand-ins/src/site.rs
@@ -59,6 +59,14 @@
         self.board.tell(json!({"rev": self.rev, "pool": {"instances": instances}}));
     }
 
+    /// The board says that a host started then, in Unix milliseconds.
+    pub fn say_started(&mut self, name: &str, unix_ms: u64) {
+        self.rev += 1;
+        let mut instance = self.instance(name, "active");
+        instance["startedAtMs"] = json!(unix_ms);
+        self.board.tell(json!({"rev": self.rev, "pool": {"instances": [instance]}}));
+    }
+
     /// The board sends the whole list anew.
     pub fn say_all(&mut self) {
         self.rev += 1;
