--- a/crates/rockflow-cli/src/manage/peer.rs
+++ b/crates/rockflow-cli/src/manage/peer.rs
@@ -251,7 +251,7 @@
                 client.commit(within, persist, None).await
             }
             Peer::Gnmi(_) if within.is_some() => Err(only_netconf()),
-            Peer::Gnmi(grpc) => client.set(schema, &[], &[], &[("/", value.clone())]).await.map(|_| ()),
+            Peer::Gnmi(grpc) => grpc.client.set(schema, &[], &[], &[("/", value.clone())]).await.map(|_| ()),
         }
     }
 
