--- a/crates/rockflow-rig/src/cost.rs
+++ b/crates/rockflow-rig/src/cost.rs
@@ -6,14 +6,24 @@
 use rockflow_stand_ins::{Load, Site};
 use rockflow_yang::Schema;
 use serde_json::json;
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const WARM: Duration = Duration::from_millis(700);
 const PERIOD: Duration = Duration::from_millis(100);
-const KINDS: [&str; 3] = ["off", "idle", "subscribers"];
+
+/// What is measured, and how long.
+pub struct Plan {
+    pub program: PathBuf,
+    /// An earlier program, without management.
+    pub before: Option<PathBuf>,
+    pub rounds: usize,
+    pub seconds: f64,
+    pub clients: usize,
+    pub subscribers: usize,
+}
 
 struct Measured {
     a_second: f64,
@@ -25,17 +35,12 @@
     told: f64,
 }
 
-async fn one(
-    program: &Path,
-    kind: &str,
-    seconds: f64,
-    clients: usize,
-    subscribers: usize,
-    seed: u64,
-) -> Measured {
+async fn one(plan: &Plan, kind: &str, seed: u64) -> Measured {
+    let Plan { seconds, clients, subscribers, .. } = *plan;
+    let program = plan.before.as_ref().filter(|_| kind == "before").unwrap_or(&plan.program);
     let site = Site::start(4, 2, Duration::from_millis(1));
     site.hosts.values().for_each(|host| host.keep(false));
-    let dispatcher = Dispatcher::start(program, &site, kind != "off").await;
+    let dispatcher = Dispatcher::start(program, &site, !matches!(kind, "off" | "before")).await;
     let told = Arc::new(AtomicU64::new(0));
     if kind == "subscribers" {
         let schema = Schema::published();
@@ -71,19 +76,15 @@
     Measured { a_second, p99: tally.within(0.99), idle, busy, told }
 }
 
-pub async fn run(
-    program: &Path,
-    rounds: usize,
-    seconds: f64,
-    clients: usize,
-    subscribers: usize,
-    rows: &mut Rows,
-) -> bool {
+pub async fn run(plan: &Plan, rows: &mut Rows) -> bool {
+    let Plan { rounds, seconds, clients, subscribers, .. } = *plan;
+    let mut kinds = vec!["off", "idle", "subscribers"];
+    kinds.extend(plan.before.is_some().then_some("before"));
     println!("{rounds} rounds of {seconds} s, {clients} clients without a pause, {subscribers} subscribers at 10 Hz");
-    let mut all: Vec<Vec<Measured>> = (0..KINDS.len()).map(|_| Vec::new()).collect();
+    let mut all: Vec<Vec<Measured>> = (0..kinds.len()).map(|_| Vec::new()).collect();
     for round in 0..rounds {
-        for (place, kind) in KINDS.iter().enumerate() {
-            let found = one(program, kind, seconds, clients, subscribers, round as u64 + 1).await;
+        for (place, kind) in kinds.iter().enumerate() {
+            let found = one(plan, kind, round as u64 + 1).await;
             rows.write(&json!({"round": round, "kind": kind, "queries_a_second": found.a_second,
                 "p99_us": found.p99.as_micros() as u64, "idle_rss_kb": found.idle.rss_kb, "busy_rss_kb": found.busy.rss_kb,
                 "threads": found.busy.threads, "idle_descriptors": found.idle.descriptors, "told_a_second": found.told}));
@@ -96,7 +97,7 @@
     };
     println!("| kind | queries, ratio to off | p99, ratio to off | memory idle, MB | busy, MB | threads | descriptors idle | told a second |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
-    for (place, kind) in KINDS.iter().enumerate() {
+    for (place, kind) in kinds.iter().enumerate() {
         let ratio = |value: &dyn Fn(&Measured) -> f64| {
             median(all[place].iter().zip(&all[0]).map(|(one, off)| value(one) / value(off)).collect())
         };
--- a/crates/rockflow-rig/src/main.rs
+++ b/crates/rockflow-rig/src/main.rs
@@ -42,6 +42,9 @@
         clients: usize,
         #[arg(long, default_value_t = 50)]
         subscribers: usize,
+        /// An earlier program, measured beside this one without management
+        #[arg(long)]
+        before: Option<PathBuf>,
     },
 }
 
@@ -65,8 +68,9 @@
         Command::Drains { drains, clients } => {
             runtime.block_on(drains::run(&line.rockflow, drains, clients, &mut rows))
         }
-        Command::Cost { rounds, seconds, clients, subscribers } => {
-            runtime.block_on(cost::run(&line.rockflow, rounds, seconds, clients, subscribers, &mut rows))
+        Command::Cost { rounds, seconds, clients, subscribers, before } => {
+            let plan = cost::Plan { program: line.rockflow, before, rounds, seconds, clients, subscribers };
+            runtime.block_on(cost::run(&plan, &mut rows))
         }
     };
     if well {
