--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -1,10 +1,11 @@
+mod beside;
 mod log;
+#[cfg(feature = "management")]
 mod manage;
 
+use beside::{Beside, Files};
 use clap::{CommandFactory, Parser, Subcommand};
-use rockflow_agent::Agent;
-use rockflow_dispatcher::{Clock, Service, Told};
-use rockflow_operator::{file, OperatorFile};
+use rockflow_dispatcher::{Clock, Told};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::fmt::Display;
@@ -46,6 +47,7 @@
         told: Source,
     },
     /// Read and change a running dispatcher over NETCONF or gNMI
+    #[cfg(feature = "management")]
     Manage(Box<manage::Line>),
     /// Print what a shell needs to complete these commands
     Completion { shell: clap_complete::Shell },
@@ -63,15 +65,15 @@
     /// The dispatcher's name, in place of the configuration's
     #[arg(long, env = "GW_NAME")]
     name: Option<String>,
-    /// The operator's own file, as INI; given again, a later one holds over an earlier one key by key
-    #[arg(long, env = "ROCKFLOW_OPERATOR", value_delimiter = ':')]
-    operator: Vec<PathBuf>,
+    #[command(flatten)]
+    files: Files,
 }
 
 fn main() -> ExitCode {
     let result = match Line::parse().command {
         Command::Serve { told, log } => serve(&told, log),
         Command::Check { told } => check(&told),
+        #[cfg(feature = "management")]
         Command::Manage(line) => return manage::run(&line),
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Line::command(), "rockflow", &mut std::io::stdout());
@@ -100,33 +102,14 @@
         told.name = self.name.clone().unwrap_or(told.name);
         Ok(told)
     }
-
-    /// Every fault of the operator's file on a line of its own.
-    fn operator(&self) -> Result<OperatorFile, String> {
-        let layer = |path: &PathBuf| {
-            let text = std::fs::read_to_string(path).map_err(|what| format!("{}: {what}", path.display()))?;
-            Ok((path.display().to_string(), text))
-        };
-        let layers = self.operator.iter().map(layer).collect::<Result<Vec<_>, String>>()?;
-        file::read(&layers).map_err(|faults| {
-            let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
-            faults.join("\n")
-        })
-    }
 }
 
 /// Reads both files, and all that the operator's file names, as a start would.
 fn check(source: &Source) -> Result<(), String> {
     let told = source.read()?;
-    let operator = source.operator()?;
-    Agent::check(&operator)?;
+    let beside = Beside::read(&source.files.operator)?.check()?;
     println!("{}: ready to serve at {}", told.name, told.listen);
-    let netconf = operator
-        .netconf
-        .iter()
-        .flat_map(|part| part.ssh.into_iter().chain(part.tls.as_ref().map(|tls| tls.listen)));
-    netconf.for_each(|at| println!("netconf: at {at}"));
-    operator.gnmi.iter().for_each(|part| println!("gnmi: at {}", part.tls.listen));
+    beside.iter().for_each(|line| println!("{line}"));
     Ok(())
 }
 
@@ -140,26 +123,19 @@
     let (filter, level_of) = reload::Layer::new(LevelFilter::from_level(level));
     registry().with(filter).with(fmt::layer().with_writer(log).with_ansi(false)).init();
     let told = source.read()?;
-    let operator = source.operator()?;
-    let clock = Clock::start();
-    let agent = Agent::open(clock, &operator)?;
-    Service::set_up();
-    let marks = agent.as_ref().map(Agent::marks);
-    let mut service = Service::start_marked(clock, told, marks).map_err(|what| format!("start: {what}"))?;
-    if let Some(agent) = agent {
-        let set_level = move |word: Option<&str>| {
-            let told = word.and_then(|word| word.parse().ok()).unwrap_or(level);
-            let _ = level_of.modify(|filter| *filter = LevelFilter::from_level(told));
-        };
-        agent.run(service.link(), Box::new(set_level)).map_err(|what| format!("management: {what}"))?;
-    }
+    let beside = Beside::read(&source.files.operator)?;
+    let set_level = move |word: Option<&str>| {
+        let told = word.and_then(|word| word.parse().ok()).unwrap_or(level);
+        let _ = level_of.modify(|filter| *filter = LevelFilter::from_level(told));
+    };
+    let mut service = beside.start(Clock::start(), told, Box::new(set_level))?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
         match source.read() {
             Ok(told) => service.reload(&told),
             Err(what) => tracing::error!(what, "configuration not taken; the old one stays in force"),
         }
-        match source.operator() {
-            Ok(read) if read == operator => {}
+        match Beside::read(&source.files.operator) {
+            Ok(read) if read == beside => {}
             Ok(_) => tracing::warn!("the operator's file has changed; that takes a restart"),
             Err(what) => tracing::error!(what, "operator's file not taken; the old one stays in force"),
         }
--- /dev/null
+++ b/crates/rockflow-cli/tests/operator.rs
@@ -0,0 +1,37 @@
+//! The operator's file at the command line: `check` names each fault, and a program without management takes none.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn check(text: &str) -> (Output, PathBuf) {
+    let name = format!("rockflow-operator-{}-{}.ini", std::process::id(), text.len());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    let config = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.json");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rockflow"));
+    command.args(["check", "--config", config, "--operator"]).arg(&path);
+    let output = command.env_remove("ROCKFLOW_OPERATOR").output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    (output, path)
+}
+
+#[test]
+#[cfg(feature = "management")]
+fn check_names_every_fault_with_file_line_and_key() {
+    let (output, path) = check("[management]\nowner = root\n\n[netconf]\nssh = here\n[gnmi]\nlisten = x\n");
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success());
+    let line = format!("{}:5: [netconf] ssh: \"here\" is no address with a port", path.display());
+    assert!(told.contains(&line), "{told}");
+    assert!(told.lines().count() >= 3, "{told}");
+    let (output, _) = check("[management]\nowner = root\n");
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test]
+#[cfg(not(feature = "management"))]
+fn a_program_without_management_refuses_the_file() {
+    let (output, _) = check("[management]\nowner = root\n");
+    assert!(!output.status.success());
+    assert!(String::from_utf8(output.stderr).unwrap().contains("built without management"));
+}
