--- a/crates/rockflow-budget/src/lib.rs
+++ b/crates/rockflow-budget/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod heavy;
 pub mod plan;
 pub mod pressure;
+pub mod purposes;
 
 pub use budget::{Budget, Charge, Refused, Row};
 pub use growth::Growth;
