A session that follows stays open after it has asked for something else

A commit by a session that follows events took its leave to be silent: it was closed after the idle limit. Following is now said apart from being heard; a scenario fails without it. Sessions of gNMI, one a call, are logged at debug.

--- a/crates/rockflow-management/src/machine.rs
+++ b/crates/rockflow-management/src/machine.rs
@@ -364,9 +364,16 @@
     }
 
     /// The session has asked for something.
-    pub fn touch(&mut self, now: Duration, id: SessionId, follows: bool) {
+    pub fn touch(&mut self, now: Duration, id: SessionId) {
         if let Some(session) = self.sessions.get_mut(&id) {
-            (session.heard, session.follows) = (now, follows);
+            session.heard = now;
+        }
+    }
+
+    /// Whether the session follows something from now on, for which it may be silent.
+    pub fn follows(&mut self, id: SessionId, follows: bool) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.follows = follows;
         }
     }
 
--- a/crates/rockflow-management/tests/scenarios.rs
+++ b/crates/rockflow-management/tests/scenarios.rs
@@ -8,6 +8,7 @@
 //!     a edits OP PATH [JSON]           any other edit of its candidate
 //!     a commits [within=S] [persist=ID] [id=ID]
 //!     a cancels [id=ID] | a discards | a validates | a closes | a kills b
+//!     a follows                        something, from now on
 //!     a locks|unlocks running|candidate|startup | a holds PATH | a frees NUMBER
 //!     a sets OP PATH [JSON] [expected=N]      one transaction on running
 //!     a drains HOST [force] | a undrains HOST | a rolls-back N [expected=N]
@@ -107,7 +108,7 @@
             return Ok(());
         }
         let id = self.sessions[who];
-        self.machine.touch(now, id, false);
+        self.machine.touch(now, id);
         let which = |word: &str| match word {
             "running" => Datastore::Running,
             "startup" => Datastore::Startup,
@@ -133,6 +134,10 @@
                 self.machine.commit(now, id, &confirm, "", &self.around).map(|_| ())
             }
             "cancels" => self.machine.cancel(now, id, option("id")),
+            "follows" => {
+                self.machine.follows(id, true);
+                Ok(())
+            }
             "discards" => self.machine.discard(id),
             "validates" => self.machine.validate(now, id, Ok(Datastore::Candidate), &self.around),
             "closes" => {
--- a/crates/rockflow-management/tests/serial.rs
+++ b/crates/rockflow-management/tests/serial.rs
@@ -197,7 +197,7 @@
         let around = Surroundings::default();
         let now = self.now;
         for writer in &self.writers {
-            self.machine.touch(now, writer.id, false);
+            self.machine.touch(now, writer.id);
         }
         match *step {
             Step::Edit { who, host, reason } => {
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{broadcast, oneshot, Notify};
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 type Kept = Box<dyn Durable + Send>;
 pub type Datastores = Management<Kept>;
@@ -238,7 +238,12 @@
                     committed = true;
                 }
                 Notice::SessionEnded { session, who, reason } => {
-                    info!(session = session.0, user = who.user, reason, "management session over");
+                    // Each call of gNMI is a session: told of only where single ones are searched for.
+                    if who.protocol == Protocol::Gnmi {
+                        debug!(session = session.0, user = who.user, reason, "management session over");
+                    } else {
+                        info!(session = session.0, user = who.user, reason, "management session over");
+                    }
                     inner.ended.push_back(*session);
                     while inner.ended.len() > MOST_EVENTS {
                         inner.ended.pop_front();
@@ -247,7 +252,11 @@
                 }
                 Notice::SessionBegan { session, who } => {
                     let (session, protocol) = (session.0, who.protocol.name());
-                    info!(session, user = who.user, protocol, source = who.source, "management session");
+                    if who.protocol == Protocol::Gnmi {
+                        debug!(session, user = who.user, protocol, source = who.source, "management session");
+                    } else {
+                        info!(session, user = who.user, protocol, source = who.source, "management session");
+                    }
                 }
                 Notice::Confirming { event, who } => {
                     info!(event, user = who.user, "confirmed commit");
@@ -275,7 +284,7 @@
         let (made, applied) = {
             let now = self.now();
             let mut inner = self.lock();
-            inner.datastores.touch(now, id, false);
+            inner.datastores.touch(now, id);
             let made = make(&mut inner.datastores, now, &around);
             let committed = self.settle(&mut inner);
             (made, if committed { self.apply(&inner) } else { None })
@@ -415,7 +424,8 @@
     fn touched(&self) -> MutexGuard<'_, Inner> {
         let now = self.desk.now();
         let mut inner = self.desk.lock();
-        inner.datastores.touch(now, self.id, self.follows > 0);
+        inner.datastores.touch(now, self.id);
+        inner.datastores.follows(self.id, self.follows > 0);
         inner
     }
 
