A commit undone by a dying session reaches the decisions

Read again: the end of a session settled the desk without sending the marks to the list, so that an undone drain went on at the decisions till the next commit, while the state shown said ready, as it came from the datastores. Settling sends them now, whoever's doing the commit was, and tries again where the list had no room; the state shown is what the list goes by.

--- a/crates/rockflow-dispatcher/src/list.rs
+++ b/crates/rockflow-dispatcher/src/list.rs
@@ -112,7 +112,8 @@
                 }
                 Some(ListWord::Survey(reply)) => {
                     let told = self.roll.iter().flat_map(Roll::told).cloned().collect();
-                    let survey = Box::new(Survey { told, ..Survey::default() });
+                    let marks = self.roll.as_ref().map(|roll| roll.marks().clone()).unwrap_or_default();
+                    let survey = Box::new(Survey { told, marks, ..Survey::default() });
                     self.module.send(Word::Survey { survey, reply });
                 }
                 None => match self.roll.as_ref().and_then(|roll| roll.due(now)) {
--- a/crates/rockflow-dispatcher/src/words.rs
+++ b/crates/rockflow-dispatcher/src/words.rs
@@ -187,6 +187,8 @@
 pub struct Survey {
     /// The board's list, as told, before any mark.
     pub told: Vec<Entry>,
+    /// The marks that the list goes by.
+    pub marks: Marks,
     pub views: Vec<HostView>,
     /// By place of the product.
     pub ended: Vec<Ended>,
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -63,6 +63,8 @@
     hosts: BTreeMap<String, (rockflow::interface::Readiness, Says)>,
     expired: BTreeMap<String, Duration>,
     level: Option<String>,
+    /// The list has not been told of the last marks yet.
+    unapplied: bool,
 }
 
 /// Sets the log's level while running; none: as the program was started.
@@ -132,6 +134,7 @@
             hosts: BTreeMap::new(),
             expired: BTreeMap::new(),
             level: None,
+            unapplied: false,
         };
         let desk = Arc::new(Desk {
             schema: inner.datastores.schema().clone(),
@@ -143,7 +146,7 @@
             ended: Notify::new(),
             set_level,
         });
-        desk.settle(&mut desk.lock());
+        let _ = desk.settle(&mut desk.lock());
         desk
     }
 }
@@ -161,7 +164,7 @@
         let now = self.desk.now();
         let mut inner = self.desk.lock();
         inner.datastores.close(now, self.id, "dropped");
-        self.desk.settle(&mut inner);
+        let _ = self.desk.settle(&mut inner);
     }
 }
 
@@ -191,7 +194,7 @@
         let (now, user) = (self.now(), who.user.clone());
         let mut inner = self.lock();
         let id = inner.datastores.open(now, who)?;
-        self.settle(&mut inner);
+        let _ = self.settle(&mut inner);
         self.moved.notify_one();
         Ok(Asker { desk: self.clone(), id, user, follows: 0 })
     }
@@ -228,8 +231,10 @@
     }
 
     /// Carries out what a change has brought, while the desk is held, so that commits reach the list in their
-    /// order: notices to the audit log and followers, ends of sessions to their fronts.
-    fn settle(&self, inner: &mut Inner) -> bool {
+    /// order: notices to the audit log and followers, ends of sessions to their fronts, and marks to the list
+    /// whoever's doing the commit was, a session's end or a time-out too. Where marks went, the reply tells
+    /// when the decisions go by them.
+    fn settle(&self, inner: &mut Inner) -> Option<oneshot::Receiver<()>> {
         let (now, mut committed) = (self.now(), false);
         for notice in inner.datastores.take_notices() {
             match &notice {
@@ -270,7 +275,11 @@
             (self.set_level)(told.as_deref());
             inner.level = told;
         }
-        committed
+        if committed || inner.unapplied {
+            self.apply(inner)
+        } else {
+            None
+        }
     }
 
     /// One change by a session, to its end: durable, in force at the decisions, acknowledged.
@@ -286,8 +295,7 @@
             let mut inner = self.lock();
             inner.datastores.touch(now, id);
             let made = make(&mut inner.datastores, now, &around);
-            let committed = self.settle(&mut inner);
-            (made, if committed { self.apply(&inner) } else { None })
+            (made, self.settle(&mut inner))
         };
         self.moved.notify_one();
         if let Some(applied) = applied {
@@ -300,11 +308,14 @@
     }
 
     /// Sends the marks as they are to the list.
-    fn apply(&self, inner: &Inner) -> Option<oneshot::Receiver<()>> {
+    fn apply(&self, inner: &mut Inner) -> Option<oneshot::Receiver<()>> {
         let (done, wait) = oneshot::channel();
         let sent = self.link.mark(inner.datastores.marks(), move || {
             let _ = done.send(());
         });
+        // A survey from before it would show what no longer holds.
+        inner.survey = None;
+        inner.unapplied = !sent;
         if !sent {
             error!("too many changes wait at the list; the marks go with the next look");
         }
@@ -314,7 +325,6 @@
     /// What is due by the clock: confirmations, silent sessions, followers of changes. Runs as long as the
     /// management side does.
     pub async fn run(&self) {
-        let mut stale = false;
         loop {
             let due = {
                 let inner = self.lock();
@@ -331,10 +341,7 @@
             {
                 let mut inner = self.lock();
                 inner.datastores.tick(now);
-                let committed = self.settle(&mut inner);
-                if committed || stale {
-                    stale = self.apply(&inner).is_none();
-                }
+                let _ = self.settle(&mut inner);
             }
             self.pulse().await;
         }
@@ -369,7 +376,7 @@
     }
 
     fn tell_of_hosts(&self, inner: &mut Inner, survey: &Survey, now: Duration) {
-        let marks = inner.datastores.marks();
+        let marks = &survey.marks;
         let mut hosts = BTreeMap::new();
         for entry in &survey.told {
             if let Some(found) = effective(Some(entry.listing.readiness), marks.get(&entry.name), now) {
@@ -434,10 +441,7 @@
         let now = self.desk.now();
         let mut inner = self.touched();
         let done = act(&mut inner.datastores, now);
-        // Nothing here may commit past `change`; a lost session's pending commit is undone there and applied.
-        if self.desk.settle(&mut inner) {
-            let _ = self.desk.apply(&inner);
-        }
+        let _ = self.desk.settle(&mut inner);
         done
     }
 
--- a/crates/rockflow-operator/src/state.rs
+++ b/crates/rockflow-operator/src/state.rs
@@ -3,7 +3,7 @@
 use rockflow::interface::{Effect, Readiness, Role};
 use rockflow_dispatcher::words::Survey;
 use rockflow_dispatcher::{Link, Phase};
-use rockflow_management::membership::{effective, Listed, Marks};
+use rockflow_management::membership::{effective, Listed};
 use rockflow_management::{moment, Durable, Management, Surroundings};
 use rockflow_yang::{Data, Fields, NodeId, Path, Scalar, Schema, Step};
 use std::collections::{BTreeMap, BTreeSet};
@@ -126,7 +126,7 @@
     };
     top.text("phase", phase);
     top.number("up", millis(now.saturating_sub(started)));
-    top.container("hosts", |hosts| hosts_of(hosts, link, survey, &management.marks(), now));
+    top.container("hosts", |hosts| hosts_of(hosts, link, survey, now));
     top.container("products", |products| {
         products.list("product", link.products.iter().enumerate(), |at, (place, (name, told))| {
             at.text("name", name);
@@ -168,7 +168,9 @@
     }
 }
 
-fn hosts_of(hosts: &mut Writer, link: &Link, survey: &Survey, marks: &Marks, now: Duration) {
+fn hosts_of(hosts: &mut Writer, link: &Link, survey: &Survey, now: Duration) {
+    // As the list has them: what is committed and not told yet does not hold yet.
+    let marks = &survey.marks;
     let told: BTreeMap<&str, _> = survey.told.iter().map(|entry| (entry.name.as_str(), entry)).collect();
     let views: BTreeMap<_, _> = survey.views.iter().map(|view| (view.host, view)).collect();
     let names: BTreeSet<&str> = told.keys().copied().chain(marks.keys().map(String::as_str)).collect();
