One handshake and one walk for both fronts, room for SSH connections, dead code out

NETCONF and gNMI each had their own accept loop, TLS handshake and walk along a pattern: now in rockflow-operator and rockflow-yang. Proved SSH connections without a session had no cap: 128. A change is refused while the dispatcher never told its hosts, as nobody could say whether one is left. Three functions that nothing used are gone. The whole list sent anew while a mark stands is now caused by a test on sockets; tests and rig lay their keys out by one function.

--- a/crates/rockflow-agent/tests/common/mod.rs
+++ b/crates/rockflow-agent/tests/common/mod.rs
@@ -35,30 +35,14 @@
 
 /// The operator's file of a rig: all fronts, at ports of their own.
 pub fn operator(folder: &keys::Folder, store: bool, more: &str) -> (OperatorFile, keys::Authority) {
-    let authority = keys::Authority::new("rig");
-    let (certificate, key) = authority.server();
-    folder.write("server.pem", &certificate, 0o600);
-    folder.write("server.key", &key, 0o600);
-    folder.write("ca.pem", &authority.certificate, 0o600);
-    folder.write("host", &keys::texts(&keys::ssh(1)).0, 0o600);
-    std::fs::create_dir_all(folder.file("users")).unwrap();
-    for user in USERS {
-        folder.write(&format!("users/{user}"), &keys::texts(&key_of(user)).1, 0o600);
-    }
+    let authority = folder.furnish(&USERS.map(|user| (user, key_of(user))));
     let at = |name: &str| folder.file(name).display().to_string();
+    let (ssh, tls) = folder.operator_keys();
     let store = if store { format!("store = {}\n", at("store")) } else { String::new() };
-    let tls = format!(
-        "certificate = {}\nkey = {}\nclient-ca = {}\n",
-        at("server.pem"),
-        at("server.key"),
-        at("ca.pem")
-    );
     let text = format!(
-        "[management]\nowner = root\n{store}audit = {}\n[netconf]\nssh = 127.0.0.1:0\nhost-key = {}\n\
-         authorized-keys = {}\ntls = 127.0.0.1:0\n{tls}{more}[gnmi]\nlisten = 127.0.0.1:0\n{tls}",
+        "[management]\nowner = root\n{store}audit = {}\n[netconf]\nssh = 127.0.0.1:0\n{ssh}tls = 127.0.0.1:0\n\
+         {tls}{more}[gnmi]\nlisten = 127.0.0.1:0\n{tls}",
         at("audit"),
-        at("host"),
-        at("users"),
     );
     (file::read(&[("rig.ini".to_string(), text)]).unwrap(), authority)
 }
@@ -79,7 +63,7 @@
         let service = Service::start_marked(clock, site.told(EXAMPLE), Some(agent.marks())).unwrap();
         let desk = agent.run(service.link(), Box::new(|_| {})).unwrap();
         let schema = desk.schema().clone();
-        Rig { site, service, desk, addresses, folder, schema, authority, host: keys::ssh(1) }
+        Rig { site, service, desk, addresses, folder, schema, authority, host: keys::host() }
     }
 
     pub fn address(&self) -> SocketAddr {
--- a/crates/rockflow-agent/tests/netconf.rs
+++ b/crates/rockflow-agent/tests/netconf.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn state_is_read_and_a_drain_takes_hold() {
-    let rig = Rig::start(3, 2, 2 * MS);
+    let mut rig = Rig::start(3, 2, 2 * MS);
     block_on(async {
         let mut root = rig.ssh("root").await;
         let state = rig.host_state(&mut root, "c1").await;
@@ -35,6 +35,22 @@
         let state = rig.host_state(&mut root, "c1").await;
         assert_eq!((&state["effective"], &state["says"]), (&json!("draining"), &json!("operator")));
         assert_eq!(state["listed"], "ready");
+        // The board sends its whole list anew, and tells of the host again: the mark stands.
+        rig.site.say_all();
+        rig.site.say("c1", "active");
+        let board = "/rockflow-router:router/state/board/last".to_string();
+        let told = rig.site.rev().to_string();
+        let heard = async {
+            loop {
+                let found = root.get(&rig.schema, "operational", std::slice::from_ref(&board)).await.unwrap();
+                if rig.shown(&found)["rockflow-router:router"]["state"]["board"]["last"] == told.as_str() {
+                    return;
+                }
+                tokio::time::sleep(5 * MS).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), heard).await.unwrap();
+        assert_eq!(rig.host_state(&mut root, "c1").await["effective"], "draining");
         let tally = load.stop();
         assert!(tally.succeeded > 200, "{}", tally.succeeded);
         assert_eq!((tally.lost, tally.doubled), (0, 0));
--- a/crates/rockflow-gnmi/src/paths.rs
+++ b/crates/rockflow-gnmi/src/paths.rs
@@ -2,6 +2,7 @@
 
 use crate::wire;
 use rockflow_management::{Fault, Tag};
+use rockflow_yang::data::{self, Found};
 use rockflow_yang::path::{Loose, MOST_STEPS};
 use rockflow_yang::{json, Data, Fields, Kind, NodeId, Path, Pattern, Scalar, Schema, Step};
 use serde_json::{Map, Value};
@@ -89,52 +90,18 @@
 
 /// Each instance that the pattern names, with its value; entries of a list come one by one.
 pub fn instances(schema: &Schema, fields: &Fields, pattern: &Pattern) -> Result<Vec<(Path, Value)>, Fault> {
-    let mut found = Vec::new();
     if pattern.0.is_empty() {
-        found.push((Path::default(), object(schema, fields)));
-    } else {
-        below(schema, fields, &pattern.0, &Path::default(), &mut found)?;
+        return Ok(vec![(Path::default(), object(schema, fields))]);
     }
-    Ok(found)
-}
-
-fn below(
-    schema: &Schema,
-    fields: &Fields,
-    steps: &[Loose],
-    at: &Path,
-    found: &mut Vec<(Path, Value)>,
-) -> Result<(), Fault> {
-    let Some((step, rest)) = steps.split_first() else { return Ok(()) };
-    let Some(data) = fields.get(&step.node) else { return Ok(()) };
-    if found.len() >= MOST_INSTANCES {
-        return Err(Fault::new(Tag::TooBig, format!("more than {MOST_INSTANCES} instances")));
-    }
-    match data {
-        Data::List(entries) => {
-            for (keys, inner) in entries {
-                let fits = step.keys.iter().zip(keys);
-                if !fits.into_iter().all(|(told, key)| told.as_ref().is_none_or(|told| told == key)) {
-                    continue;
-                }
-                let here = at.then(step.node, keys.clone());
-                if rest.is_empty() {
-                    found.push((here, object(schema, inner)));
-                } else {
-                    below(schema, inner, rest, &here, found)?;
-                }
-            }
-        }
-        Data::Container(inner) if !rest.is_empty() => {
-            below(schema, inner, rest, &at.then(step.node, Vec::new()), found)?;
-        }
-        Data::Container(inner) => found.push((at.then(step.node, Vec::new()), object(schema, inner))),
-        data if rest.is_empty() => {
-            found.push((at.then(step.node, Vec::new()), json::write_data(schema, step.node, data)));
-        }
-        _ => {}
-    }
-    Ok(())
+    let found = data::instances(fields, pattern, MOST_INSTANCES);
+    let found =
+        found.ok_or_else(|| Fault::new(Tag::TooBig, format!("more than {MOST_INSTANCES} instances")))?;
+    let value = |path: &Path, found: Found| match (found, path.node()) {
+        (Found::Entry(inner) | Found::Data(Data::Container(inner)), _) => object(schema, inner),
+        (Found::Data(data), Some(node)) => json::write_data(schema, node, data),
+        (Found::Data(_), None) => Value::Null,
+    };
+    Ok(found.into_iter().map(|(path, found)| (path.clone(), value(&path, found))).collect())
 }
 
 pub fn encoded(value: &Value, encoding: wire::Encoding) -> wire::TypedValue {
--- a/crates/rockflow-gnmi/src/server.rs
+++ b/crates/rockflow-gnmi/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::service::{Peer, Service};
 use crate::wire::g_nmi_server::GNmiServer;
-use rockflow_operator::{secrets, Desk, Doorway, GnmiPart};
+use rockflow_operator::{doorway, secrets, Desk, Doorway, GnmiPart};
 use std::net::{SocketAddr, TcpListener as Listener};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 use tokio_rustls::TlsAcceptor;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::server::Connected;
-use tracing::{error, info, warn};
+use tracing::{error, info};
 
 /// Connections at once, and the time that one is given to prove who it is.
 const MOST_CONNECTIONS: usize = 128;
@@ -26,7 +26,6 @@
 /// What a connection may have on its way to us unread.
 const WINDOW: u32 = 256 * 1024;
 const ALIVE: (Duration, Duration) = (Duration::from_secs(30), Duration::from_secs(20));
-const PAUSE: Duration = Duration::from_millis(50);
 
 /// Bound and read, ahead of the thread that serves.
 pub struct Bound {
@@ -110,8 +109,26 @@
         };
         let most = part.message_kb as usize * 1024;
         let service = GNmiServer::new(service).max_decoding_message_size(most);
-        let (proved, connections) = mpsc::channel(1);
-        tokio::spawn(accept(listener, acceptor, proved));
+        let (proved, connections) = mpsc::channel::<std::io::Result<Proved>>(1);
+        let places = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+        tokio::spawn(doorway::accept(
+            listener,
+            Doorway::new(MOST_UNPROVED),
+            move |stream, from, unproved| {
+                let (acceptor, proved, places) = (acceptor.clone(), proved.clone(), places.clone());
+                tokio::spawn(async move {
+                    let shaken = doorway::shake(acceptor, stream, from, unproved, HANDSHAKE).await;
+                    let Some((stream, user)) = shaken else { return };
+                    match places.try_acquire_owned() {
+                        Ok(permit) => {
+                            let peer = Peer { user, from };
+                            let _ = proved.send(Ok(Proved { stream, peer, _permit: permit })).await;
+                        }
+                        Err(_) => info!(%from, user, "too many gnmi connections at once"),
+                    }
+                });
+            },
+        ));
         let server = tonic::transport::Server::builder()
             .max_concurrent_streams(MOST_STREAMS)
             .initial_stream_window_size(WINDOW)
@@ -128,41 +145,3 @@
         Ok(())
     }
 }
-
-async fn accept(listener: TcpListener, acceptor: TlsAcceptor, proved: mpsc::Sender<std::io::Result<Proved>>) {
-    let (connections, doorway) = (Arc::new(Semaphore::new(MOST_CONNECTIONS)), Doorway::new(MOST_UNPROVED));
-    loop {
-        let (stream, from) = match listener.accept().await {
-            Ok(come) => come,
-            Err(what) => {
-                warn!(%what, "gnmi accept");
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            }
-        };
-        let (acceptor, proved) = (acceptor.clone(), proved.clone());
-        let (connections, unproved) = (connections.clone(), doorway.admit());
-        tokio::spawn(async move {
-            let _ = stream.set_nodelay(true);
-            let shaken = tokio::select! {
-                shaken = tokio::time::timeout(HANDSHAKE, acceptor.accept(stream)) => shaken,
-                () = unproved.evicted() => return info!(%from, "gave way to another handshake"),
-            };
-            drop(unproved);
-            let stream = match shaken {
-                Ok(Ok(stream)) => stream,
-                Ok(Err(what)) => return info!(%from, %what, "tls handshake"),
-                Err(_) => return info!(%from, "tls handshake not done in time"),
-            };
-            let certificates = stream.get_ref().1.peer_certificates();
-            let Some(user) = certificates.and_then(|all| secrets::user_of(all.first()?)) else {
-                return info!(%from, "the certificate names no user");
-            };
-            let Ok(permit) = connections.try_acquire_owned() else {
-                return info!(%from, "too many gnmi connections at once");
-            };
-            let peer = Peer { user, from };
-            let _ = proved.send(Ok(Proved { stream, peer, _permit: permit })).await;
-        });
-    }
-}
--- a/crates/rockflow-management/src/machine.rs
+++ b/crates/rockflow-management/src/machine.rs
@@ -199,6 +199,8 @@
 const MOST_VALUES: usize = 100_000;
 const MOST_HISTORY_VALUES: usize = 100_000;
 const MOST_PARTIAL_LOCKS: usize = 256;
+/// Nodes that one expression of a partial lock may name.
+const MOST_LOCKED: usize = 10_000;
 const MOST_NOTICES: usize = 4096;
 const MOST_PERSIST: usize = 256;
 const MOST_COMMENT: usize = 1024;
@@ -475,9 +477,9 @@
         let user = self.session(id)?.who.user.clone();
         let mut held: Vec<Path> = Vec::new();
         for pattern in select {
-            let mut found = Vec::new();
-            instances(&self.running, &pattern.0, &Path::default(), &mut found);
-            held.extend(found);
+            let found = data::instances(&self.running, pattern, MOST_LOCKED);
+            let found = found.ok_or_else(|| Fault::new(Tag::TooBig, "too much to lock in part"))?;
+            held.extend(found.into_iter().map(|(path, _)| path));
         }
         if held.is_empty() {
             return Err(Fault::new(Tag::OperationFailed, "nothing there to lock").app("no-matches"));
@@ -1144,30 +1146,3 @@
     };
     put_in(mine, &lost(theirs)).or_else(|| put_in(theirs, &lost(mine)))
 }
-
-/// What of a tree the pattern names, one path each.
-fn instances(fields: &Fields, pattern: &[rockflow_yang::path::Loose], at: &Path, found: &mut Vec<Path>) {
-    let Some((step, rest)) = pattern.split_first() else { return };
-    let Some(data) = fields.get(&step.node) else { return };
-    match data {
-        Data::List(entries) => {
-            for (keys, inner) in entries {
-                let told = step.keys.iter().zip(keys);
-                if !told.into_iter().all(|(told, key)| told.as_ref().is_none_or(|told| told == key)) {
-                    continue;
-                }
-                let here = at.then(step.node, keys.clone());
-                if rest.is_empty() {
-                    found.push(here);
-                } else {
-                    instances(inner, rest, &here, found);
-                }
-            }
-        }
-        Data::Container(inner) if !rest.is_empty() => {
-            instances(inner, rest, &at.then(step.node, Vec::new()), found);
-        }
-        _ if rest.is_empty() => found.push(at.then(step.node, Vec::new())),
-        _ => {}
-    }
-}
--- a/crates/rockflow-netconf/src/filter.rs
+++ b/crates/rockflow-netconf/src/filter.rs
@@ -3,7 +3,7 @@
 
 use crate::xml::{Element, Prefixes};
 use rockflow_management::{Fault, Tag};
-use rockflow_yang::{data, Data, Fields, Kind, NodeId, Pattern, Schema};
+use rockflow_yang::{data, Data, Fields, NodeId, Pattern, Schema};
 use std::collections::BTreeMap;
 
 /// Paths in one expression.
@@ -147,8 +147,3 @@
     patterns.iter().for_each(|pattern| data::merge(&mut found, &data::select(fields, pattern)));
     found
 }
-
-/// Whether the node holds values at all.
-pub fn is_data(schema: &Schema, id: NodeId) -> bool {
-    !matches!(schema.node(id).kind, Kind::Rpc | Kind::Notification | Kind::Input | Kind::Output)
-}
--- a/crates/rockflow-netconf/src/server.rs
+++ b/crates/rockflow-netconf/src/server.rs
@@ -6,16 +6,16 @@
 use crate::session::{self, Bounds};
 use crate::ssh::{self, Ssh};
 use rockflow_management::{Operator, Protocol};
-use rockflow_operator::{secrets, Desk, Doorway, NetconfPart, Unproved};
+use rockflow_operator::{doorway, secrets, Desk, Doorway, NetconfPart};
 use std::net::{SocketAddr, TcpListener as Listener};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
-use tracing::{info, warn};
 
-/// After a failed accept, for example with no descriptor left.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Connections over SSH at once that have proved who they are; over TLS each is a session, which the desk caps.
+const MOST_CONNECTIONS: usize = 128;
 
 /// Bound and read, ahead of the thread that serves: what is wrong is known at the start.
 pub struct Bound {
@@ -83,34 +83,22 @@
         let started = desk.now();
         let server = Arc::new(rpc::Server { desk, counts: Counts::default(), started });
         // One for each listener, so that a flood at one keeps nobody out of the other.
-        let doorway = || Doorway::new(part.handshakes as usize);
+        let waiting = || Doorway::new(part.handshakes as usize);
         if let (Some((listener, config)), Some(keys)) = (ssh, part.authorized_keys.clone()) {
             let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
-            let ssh = Arc::new(Ssh { server: server.clone(), keys, bounds, config });
-            tokio::spawn(accept(listener, doorway(), move |stream, from, unproved| {
+            let places = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+            let ssh = Arc::new(Ssh { server: server.clone(), keys, bounds, config, places });
+            tokio::spawn(doorway::accept(listener, waiting(), move |stream, from, unproved| {
                 tokio::spawn(ssh::serve(ssh.clone(), stream, from, unproved));
             }));
         }
         if let Some((listener, acceptor)) = tls {
             let listener = TcpListener::from_std(listener).map_err(|what| what.to_string())?;
-            tokio::spawn(accept(listener, doorway(), move |stream, from, unproved| {
+            tokio::spawn(doorway::accept(listener, waiting(), move |stream, from, unproved| {
                 let (acceptor, server) = (acceptor.clone(), server.clone());
                 tokio::spawn(async move {
-                    let shaken = tokio::select! {
-                        shaken = tokio::time::timeout(bounds.hello, acceptor.accept(stream)) => shaken,
-                        () = unproved.evicted() => return info!(%from, "gave way to another handshake"),
-                    };
-                    drop(unproved);
-                    let stream = match shaken {
-                        Ok(Ok(stream)) => stream,
-                        Ok(Err(what)) => return info!(%from, %what, "tls handshake"),
-                        Err(_) => return info!(%from, "tls handshake not done in time"),
-                    };
-                    let certificates = stream.get_ref().1.peer_certificates();
-                    let user = certificates.and_then(|all| secrets::user_of(all.first()?));
-                    let Some(user) = user else {
-                        return info!(%from, "the certificate names no user");
-                    };
+                    let shaken = doorway::shake(acceptor, stream, from, unproved, bounds.hello).await;
+                    let Some((stream, user)) = shaken else { return };
                     let source = from.ip().to_string();
                     let who = Operator { user, protocol: Protocol::NetconfTls, source };
                     session::run(server, who, stream, bounds).await;
@@ -120,18 +108,3 @@
         Ok(())
     }
 }
-
-async fn accept(listener: TcpListener, doorway: Doorway, serve: impl Fn(TcpStream, SocketAddr, Unproved)) {
-    loop {
-        let (stream, from) = match listener.accept().await {
-            Ok(come) => come,
-            Err(what) => {
-                warn!(%what, "netconf accept");
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            }
-        };
-        let _ = stream.set_nodelay(true);
-        serve(stream, from, doorway.admit());
-    }
-}
--- a/crates/rockflow-netconf/src/ssh.rs
+++ b/crates/rockflow-netconf/src/ssh.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Semaphore};
 use tracing::{info, warn};
 
 /// Sessions on one connection.
@@ -34,6 +34,8 @@
     pub keys: PathBuf,
     pub bounds: Bounds,
     pub config: Arc<russh::server::Config>,
+    /// One for each connection that has proved who it is.
+    pub places: Arc<Semaphore>,
 }
 
 pub fn config(key: PrivateKey) -> Arc<russh::server::Config> {
@@ -177,8 +179,10 @@
             () = unproved.evicted() => false,
         };
         drop(unproved);
-        if !proved {
-            info!(%from, "ssh peer did not prove who it is in time");
+        // Kept as long as the connection is: this part ends with it.
+        let place = ssh.places.try_acquire();
+        if !proved || place.is_err() {
+            info!(%from, proved, "ssh peer did not prove who it is in time, or there is no room for it");
             let _ = handle.disconnect(russh::Disconnect::ByApplication, String::new(), String::new()).await;
         }
         std::future::pending::<()>().await
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -199,13 +199,14 @@
         Ok(Asker { desk: self.clone(), id, user, follows: 0 })
     }
 
-    /// What is known of the dispatcher, not older than `SURVEY_FRESH`; or the last known, if it does not answer.
-    pub async fn survey(&self) -> Arc<Survey> {
+    /// What is known of the dispatcher, not older than `SURVEY_FRESH`; or the last known, if it does not answer;
+    /// none if it never did.
+    pub async fn survey(&self) -> Option<Arc<Survey>> {
         let now = self.now();
         let last = self.lock().survey.clone();
         if let Some((at, survey)) = &last {
             if now.saturating_sub(*at) < SURVEY_FRESH {
-                return survey.clone();
+                return Some(survey.clone());
             }
         }
         let (reply, wait) = oneshot::channel();
@@ -216,16 +217,16 @@
             if let Ok(Ok(survey)) = tokio::time::timeout(SURVEY_WAIT, wait).await {
                 let survey: Arc<Survey> = Arc::from(survey);
                 self.lock().survey = Some((now, survey.clone()));
-                return survey;
+                return Some(survey);
             }
         }
         warn!("the dispatcher did not tell its state in time; the last known is shown");
-        last.map(|(_, survey)| survey).unwrap_or_default()
+        last.map(|(_, survey)| survey)
     }
 
     /// Running with its notes, and state: the operational datastore (RFC 8342).
     pub async fn operational(&self) -> Fields {
-        let survey = self.survey().await;
+        let survey = self.survey().await.unwrap_or_default();
         let inner = self.lock();
         state::operational(&inner.datastores, &self.link, &survey, self.started, self.now())
     }
@@ -288,7 +289,10 @@
         id: SessionId,
         make: impl FnOnce(&mut Datastores, Duration, &Surroundings) -> Result<T, Fault>,
     ) -> Result<T, Fault> {
-        let survey = self.survey().await;
+        // Guards against draining the last of a location while nothing is known of the list.
+        let survey = self.survey().await.ok_or_else(|| {
+            Fault::new(Tag::ResourceDenied, "the dispatcher does not tell its hosts; nothing is changed")
+        })?;
         let around = state::surroundings(&survey);
         let (made, applied) = {
             let now = self.now();
@@ -302,7 +306,6 @@
             if tokio::time::timeout(APPLY_WAIT, applied).await.is_err() {
                 warn!("a commit is durable, and the dispatcher has not said that it goes by it");
             }
-            self.lock().survey = None;
         }
         made
     }
@@ -314,7 +317,7 @@
             let _ = done.send(());
         });
         // A survey from before it would show what no longer holds.
-        inner.survey = None;
+        inner.survey.iter_mut().for_each(|(at, _)| *at = Duration::ZERO);
         inner.unapplied = !sent;
         if !sent {
             error!("too many changes wait at the list; the marks go with the next look");
@@ -360,7 +363,7 @@
                 return;
             }
         }
-        let survey = self.survey().await;
+        let survey = self.survey().await.unwrap_or_default();
         let now = self.now();
         let mut inner = self.lock();
         let tree = state::operational(&inner.datastores, &self.link, &survey, self.started, now);
--- a/crates/rockflow-operator/src/doorway.rs
+++ b/crates/rockflow-operator/src/doorway.rs
@@ -1,9 +1,19 @@
 //! Peers that have not proved who they are: so many at once, and past that the one that has taken longest gives
 //! way, so that handshakes left half open by the hundred keep nobody out who can prove it at once.
 
+use crate::secrets;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio_rustls::server::TlsStream;
+use tokio_rustls::TlsAcceptor;
+use tracing::{info, warn};
+
+/// After a failed accept, for example with no descriptor left.
+const PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Default)]
 struct Waiting {
@@ -57,6 +67,56 @@
     }
 }
 
+/// Takes connections in as long as it runs, each with its place at the doorway.
+pub async fn accept(
+    listener: TcpListener,
+    doorway: Doorway,
+    mut serve: impl FnMut(TcpStream, SocketAddr, Unproved),
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let _ = stream.set_nodelay(true);
+                serve(stream, from, doorway.admit());
+            }
+            Err(what) => {
+                warn!(%what, "management accept");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Shakes hands by TLS within the limit; the stream, and the user whom its certificate names.
+pub async fn shake(
+    acceptor: TlsAcceptor,
+    stream: TcpStream,
+    from: SocketAddr,
+    unproved: Unproved,
+    limit: Duration,
+) -> Option<(TlsStream<TcpStream>, String)> {
+    let shaken = tokio::select! {
+        shaken = tokio::time::timeout(limit, acceptor.accept(stream)) => shaken,
+        () = unproved.evicted() => {
+            info!(%from, "gave way to another handshake");
+            return None;
+        }
+    };
+    let why = match shaken {
+        Ok(Ok(stream)) => {
+            let certificates = stream.get_ref().1.peer_certificates();
+            match certificates.and_then(|all| secrets::user_of(all.first()?)) {
+                Some(user) => return Some((stream, user)),
+                None => "the certificate names no user".to_string(),
+            }
+        }
+        Ok(Err(what)) => what.to_string(),
+        Err(_) => "not done in time".to_string(),
+    };
+    info!(%from, why, "tls handshake");
+    None
+}
+
 impl Unproved {
     /// Waits till another takes its place.
     pub async fn evicted(&self) {
--- a/crates/rockflow-rig/src/process.rs
+++ b/crates/rockflow-rig/src/process.rs
@@ -40,25 +40,12 @@
         let mut value = site.configuration(EXAMPLE);
         value["listen"] = serde_json::json!(address.to_string());
         let config = folder.write("config.json", &value.to_string(), 0o600);
-        let authority = keys::Authority::new("rig");
-        let (certificate, key) = authority.server();
-        folder.write("server.pem", &certificate, 0o600);
-        folder.write("server.key", &key, 0o600);
-        folder.write("ca.pem", &authority.certificate, 0o600);
-        folder.write("host", &keys::texts(&keys::ssh(1)).0, 0o600);
-        std::fs::create_dir_all(folder.file("users")).expect("a folder");
-        folder.write("users/root", &keys::texts(&keys::ssh(2)).1, 0o600);
-        let at = |name: &str| folder.file(name).display().to_string();
+        let authority = folder.furnish(&[("root", keys::ssh(2))]);
+        let (by_ssh, by_tls) = folder.operator_keys();
         let operator = format!(
-            "[management]\nowner = root\nstore = {}\n[netconf]\nssh = {ssh}\nhost-key = {}\n\
-             authorized-keys = {}\n[gnmi]\nlisten = {gnmi}\ncertificate = {}\nkey = {}\nclient-ca = {}\n\
-             subscribers = 200\n",
-            at("store"),
-            at("host"),
-            at("users"),
-            at("server.pem"),
-            at("server.key"),
-            at("ca.pem"),
+            "[management]\nowner = root\nstore = {}\n[netconf]\nssh = {ssh}\n{by_ssh}[gnmi]\nlisten = {gnmi}\n\
+             {by_tls}subscribers = 200\n",
+            folder.file("store").display(),
         );
         let operator = folder.write("rockflow.ini", &operator, 0o600);
         let log = std::fs::File::create(folder.file("log")).expect("a log");
@@ -84,7 +71,7 @@
     }
 
     pub async fn netconf(&self) -> netconf::Client {
-        let host = keys::ssh(1).public_key().clone();
+        let host = keys::host().public_key().clone();
         let client = netconf::Client::ssh(&self.ssh.to_string(), "root", keys::ssh(2), host).await;
         client.expect("a session")
     }
--- a/crates/rockflow-stand-ins/src/keys.rs
+++ b/crates/rockflow-stand-ins/src/keys.rs
@@ -37,6 +37,37 @@
     }
 }
 
+/// The host key of a furnished folder.
+pub fn host() -> PrivateKey {
+    ssh(1)
+}
+
+impl Folder {
+    /// Lays out what the management of a dispatcher reads: a host key, the users' public keys, a server's
+    /// certificate and key, and the authority that signs clients.
+    pub fn furnish(&self, users: &[(&str, PrivateKey)]) -> Authority {
+        let authority = Authority::new("rig");
+        let (certificate, key) = authority.server();
+        self.write("server.pem", &certificate, 0o600);
+        self.write("server.key", &key, 0o600);
+        self.write("ca.pem", &authority.certificate, 0o600);
+        self.write("host", &texts(&host()).0, 0o600);
+        std::fs::create_dir_all(self.file("users")).expect("a folder");
+        for (user, key) in users {
+            self.write(&format!("users/{user}"), &texts(key).1, 0o600);
+        }
+        authority
+    }
+
+    /// The keys of the operator's file for it: those of SSH, and those of TLS.
+    pub fn operator_keys(&self) -> (String, String) {
+        let at = |name: &str| self.file(name).display().to_string();
+        let ssh = format!("host-key = {}\nauthorized-keys = {}\n", at("host"), at("users"));
+        let (certificate, key, ca) = (at("server.pem"), at("server.key"), at("ca.pem"));
+        (ssh, format!("certificate = {certificate}\nkey = {key}\nclient-ca = {ca}\n"))
+    }
+}
+
 impl Drop for Folder {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.0);
--- a/crates/rockflow-yang/src/data.rs
+++ b/crates/rockflow-yang/src/data.rs
@@ -455,12 +455,8 @@
     };
     let found = match data {
         Data::List(entries) => {
-            let fits = |keys: &Keys| {
-                let mut pairs = step.keys.iter().zip(keys);
-                pairs.all(|(told, key)| told.as_ref().is_none_or(|told| told == key))
-            };
             let mut kept = BTreeMap::new();
-            for (keys, inner) in entries.iter().filter(|(keys, _)| fits(keys)) {
+            for (keys, inner) in entries.iter().filter(|(keys, _)| step.fits_keys(keys)) {
                 let below = select_below(inner, rest);
                 if rest.is_empty() || !below.is_empty() {
                     kept.insert(keys.clone(), below);
@@ -477,6 +473,41 @@
     found.map(|data| Fields::from([(step.node, data)])).unwrap_or_default()
 }
 
+/// Each instance that the pattern names, one path each; entries of a list come one by one. None: more than `most`.
+pub fn instances<'a>(fields: &'a Fields, pattern: &Pattern, most: usize) -> Option<Vec<(Path, Found<'a>)>> {
+    let mut found = Vec::new();
+    instances_below(fields, &pattern.0, &Path::default(), most, &mut found)?;
+    Some(found)
+}
+
+fn instances_below<'a>(
+    fields: &'a Fields,
+    steps: &[crate::path::Loose],
+    at: &Path,
+    most: usize,
+    found: &mut Vec<(Path, Found<'a>)>,
+) -> Option<()> {
+    let Some((step, rest)) = steps.split_first() else { return Some(()) };
+    match fields.get(&step.node) {
+        Some(Data::List(entries)) => {
+            for (keys, inner) in entries.iter().filter(|(keys, _)| step.fits_keys(keys)) {
+                let here = at.then(step.node, keys.clone());
+                if rest.is_empty() {
+                    found.push((here, Found::Entry(inner)));
+                } else {
+                    instances_below(inner, rest, &here, most, found)?;
+                }
+            }
+        }
+        Some(Data::Container(inner)) if !rest.is_empty() => {
+            instances_below(inner, rest, &at.then(step.node, Vec::new()), most, found)?;
+        }
+        Some(data) if rest.is_empty() => found.push((at.then(step.node, Vec::new()), Found::Data(data))),
+        _ => {}
+    }
+    (found.len() <= most).then_some(())
+}
+
 /// Keeps what `wanted` says of each leaf; entries and containers that hold nothing by then go. A key stays
 /// where anything of its entry does.
 pub fn prune(schema: &Schema, fields: &Fields, at: &Path, wanted: &impl Fn(&Path) -> bool) -> Fields {
--- a/crates/rockflow-yang/src/path.rs
+++ b/crates/rockflow-yang/src/path.rs
@@ -92,11 +92,6 @@
         path.0.len() >= self.0.len() && self.0.iter().zip(&path.0).all(|(loose, step)| loose.fits(step))
     }
 
-    /// Whether something below the path may be named.
-    pub fn may_hold_below(&self, path: &Path) -> bool {
-        self.0.iter().zip(&path.0).all(|(loose, step)| loose.fits(step))
-    }
-
     pub fn node(&self) -> Option<NodeId> {
         self.0.last().map(|loose| loose.node)
     }
@@ -134,8 +129,13 @@
 
 impl Loose {
     fn fits(&self, step: &Step) -> bool {
+        self.node == step.node && self.fits_keys(&step.keys)
+    }
+
+    /// Whether an entry with those keys is named.
+    pub fn fits_keys(&self, keys: &[Scalar]) -> bool {
         let open = |(told, key): (&Option<Scalar>, &Scalar)| told.as_ref().is_none_or(|told| told == key);
-        self.node == step.node && self.keys.iter().zip(&step.keys).all(open)
+        self.keys.iter().zip(keys).all(open)
     }
 
     /// A step by its name, with the keys that are told; `*`, `''` and untold ones are open.
@@ -195,8 +195,3 @@
         format!("'{value}'")
     }
 }
-
-/// Whether values can stand below the node: not so for leaves, and for what is no data.
-pub fn is_leaf(schema: &Schema, node: NodeId) -> bool {
-    matches!(schema.node(node).kind, Kind::Leaf { .. } | Kind::LeafList { .. })
-}
