A later call to the board no longer hangs on a socket's own time limit

Ruled out: reused descriptors still registered, wakers of the former stream (connect and its wait succeed each time), lines to hosts (they set no time limit; their no-delay option, now looked at, never failed).

At fault: board.rs, Board::poll, the call of set_write_timeout between connect and write, whose failure ended the call. The option does nothing on a non-blocking socket; the platform's page promises no such option. The call is now written and read without it, bounded by what is heard.

Besides: a board unheard for longer than a drain may take (rules.stopSendingWithinUs) is said once as an error, and once more when it is heard again.

Test: the loopback scenarios now stand on sockets that refuse time limits to the dispatcher's threads; notices and reload fail without the change.

--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// A comment comes each second: a board that says nothing for more than two has gone.
 const SILENCE: Duration = Duration::from_millis(2300);
@@ -43,6 +43,34 @@
     }
 }
 
+/// How long nothing has been heard, and whether that has been said. Decides; does no I/O.
+#[derive(Debug)]
+pub struct Silence {
+    since: Duration,
+    limit: Duration,
+    said: bool,
+}
+
+impl Silence {
+    pub fn new(now: Duration, limit: Duration) -> Silence {
+        Silence { since: now, limit, said: false }
+    }
+
+    /// How long it was, once it was said.
+    pub fn heard(&mut self, now: Duration) -> Option<Duration> {
+        let silent = now.saturating_sub(std::mem::replace(&mut self.since, now));
+        std::mem::take(&mut self.said).then_some(silent)
+    }
+
+    /// How long it is by now, the first time that this is past the limit.
+    pub fn grown(&mut self, now: Duration) -> Option<Duration> {
+        let silent = now.saturating_sub(self.since);
+        let news = silent > self.limit && !self.said;
+        self.said |= news;
+        news.then_some(silent)
+    }
+}
+
 pub struct Board {
     pub clock: Clock,
     pub address: SocketAddr,
@@ -51,6 +79,7 @@
     pub list: Arc<Mailbox<ListWord>>,
     pub seen: Arc<Seen>,
     pub chance: oorandom::Rand64,
+    pub silence: Silence,
     /// What was asked for a second time: the number after a gap, and one that could not be read.
     pub gap_borne: Option<u64>,
     pub unread: Option<u64>,
@@ -63,11 +92,13 @@
             let (before, at) = (self.last, self.address);
             let what = self.poll().unwrap_or_else(|what| what);
             info!(what, last = self.last, "board connection over");
+            self.watch();
             wait = if self.last > before || self.address != at { WAIT.0 } else { (2 * wait).min(WAIT.1) };
             let until = self.clock.now() + wait.mul_f64(0.5 + 0.5 * self.chance.rand_float());
             self.mail.wake_by(Wake::Park(coroutine::current()));
             while self.clock.now() < until && !self.moved() {
                 coroutine::park_timeout(WAIT.0);
+                self.watch();
             }
         }
     }
@@ -84,24 +115,37 @@
         self.address != at
     }
 
+    /// One call, to its end; says why it is over. Nothing is asked of the socket but to connect, write and read:
+    /// its own time limits are not to be had everywhere, and the wait here is bounded by what is heard.
     fn poll(&mut self) -> Result<String, String> {
         let fault = |what: std::io::Error| what.to_string();
-        let mut stream = TcpStream::connect_timeout(&self.address, CONNECT).map_err(fault)?;
-        stream.set_write_timeout(Some(SILENCE)).map_err(fault)?;
-        stream.write_all(&board::call(&self.address.to_string(), self.last)).map_err(fault)?;
+        let stream = TcpStream::connect_timeout(&self.address, CONNECT)
+            .map_err(|what| format!("not connected: {what}"))?;
         self.mail.wake_by(Wake::Io(stream.waker()));
+        let call = board::call(&self.address.to_string(), self.last);
+        let (mut unwritten, mut heard) = (&call[..], self.clock.now());
         let (mut buffer, mut sent) = (Buffer::new(board::MOST_EVENT), Stream::default());
-        let mut heard = self.clock.now();
         loop {
             if self.moved() {
                 return Ok("moved".to_string());
             }
+            self.watch();
+            let asked = match unwritten {
+                [] => Ok(true),
+                rest => stream.inner().write(rest).map(|n| {
+                    unwritten = &rest[n..];
+                    false
+                }),
+            };
             let room = buffer.room().ok_or("a head or chunk size without end")?;
-            match stream.inner().read(room) {
-                Ok(0) => return Ok("ended".to_string()),
-                Ok(n) => {
+            let read =
+                asked.and_then(|asked| if asked { stream.inner().read(room).map(Some) } else { Ok(None) });
+            match read {
+                Ok(None) => {}
+                Ok(Some(0)) => return Ok("ended".to_string()),
+                Ok(Some(n)) => {
                     heard = self.clock.now();
-                    self.seen.heard.store(heard.as_millis() as u64, Ordering::Relaxed);
+                    self.heard(heard);
                     buffer.add(n);
                     let taken = self.take(&mut sent, buffer.filled())?;
                     buffer.consume(taken);
@@ -118,6 +162,23 @@
         }
     }
 
+    fn heard(&mut self, now: Duration) {
+        if let Some(silent) = self.silence.heard(now) {
+            info!(seconds = silent.as_secs_f64(), "board heard again");
+        }
+        self.seen.heard.store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Says once that the board has been out of reach for longer than it may be.
+    fn watch(&mut self) {
+        if let Some(silent) = self.silence.grown(self.clock.now()) {
+            error!(
+                board = %self.address, last = self.last, seconds = silent.as_secs_f64(),
+                "board unheard for longer than a drain may take; the last list is gone by"
+            );
+        }
+    }
+
     /// Passes on what came whole, also ahead of a fault.
     fn take(&mut self, sent: &mut Stream, bytes: &[u8]) -> Result<usize, String> {
         let mut notices = Vec::new();
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -1,6 +1,6 @@
 //! The program from start to exit: its phases as named states of one object.
 
-use crate::board::{Board, Seen};
+use crate::board::{Board, Seen, Silence};
 use crate::caps::Caps;
 use crate::client::Door;
 use crate::clock::Clock;
@@ -141,6 +141,7 @@
             list: list_mail.clone(),
             seen: seen.clone(),
             chance,
+            silence: Silence::new(clock.now(), told.wiring.drain_limit),
             gap_borne: None,
             unread: None,
         };
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -24,6 +24,7 @@
 use rockflow_dispatcher::{Clock, Phase, Service, Told};
 use rockflow_management::membership::{Mark, Marks};
 use serde_json::{json, Value};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -35,6 +36,32 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 static SET_UP: Once = Once::new();
 
+thread_local! {
+    /// A thread of the play itself, which may set its sockets' time limits.
+    static OURS: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Stands before the C library's own. Guards against a dispatcher that leans on time limits of sockets, which not
+/// every platform has: to its threads they are refused.
+///
+/// # Safety
+/// As that of the call it stands for.
+#[no_mangle]
+pub unsafe extern "C" fn setsockopt(
+    socket: libc::c_int,
+    level: libc::c_int,
+    name: libc::c_int,
+    value: *const libc::c_void,
+    length: libc::socklen_t,
+) -> libc::c_int {
+    let limit = level == libc::SOL_SOCKET && matches!(name, libc::SO_SNDTIMEO | libc::SO_RCVTIMEO);
+    if limit && !OURS.get() {
+        *libc::__errno_location() = libc::EBADF;
+        return -1;
+    }
+    libc::syscall(libc::SYS_setsockopt, socket, level, name, value, length) as libc::c_int
+}
+
 struct Party {
     listener: Option<TcpListener>,
     stream: Option<BufReader<TcpStream>>,
@@ -285,6 +312,7 @@
 #[test_case(include_str!("scenarios/marks-expire.txt"); "marks that expire")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
 fn scenario(text: &str) {
+    OURS.set(true);
     let mut play = Play {
         parties: BTreeMap::new(),
         instances: Vec::new(),
--- a/crates/rockflow-facts/src/wiring.rs
+++ b/crates/rockflow-facts/src/wiring.rs
@@ -12,6 +12,8 @@
     pub connect_limit: Duration,
     /// A host closes a connection that was idle for this time.
     pub idle_limit: Duration,
+    /// From a drain's notice until nothing more may be sent.
+    pub drain_limit: Duration,
     /// How late after a query's end its answer still counts.
     pub answer_slack: Duration,
     /// Queries that one connection to a host carries at once.
@@ -30,6 +32,7 @@
         kinds: names("models")?,
         connect_limit: pairs.span("limits.dialTimeoutUs")?,
         idle_limit: pairs.span("limits.connIdleUs")?,
+        drain_limit: pairs.span("rules.stopSendingWithinUs")?,
         answer_slack: pairs.span("rules.answerSlackUs")?,
         most_streams: pairs.parsed::<usize>("limits.maxStreams")?.max(1),
         report: if pairs.text("telemetry.how")? == "silent" {
