A planned stop is told to the decisions: open queries end before the last resort

Cause: module.rs, Word::Leaving, set the last resort for each open query to the end of the stop, but told the decisions nothing: their legs ran on to the query's own end, so nothing ended before the resort.

Change: Event::Ending tells the decisions; legs out are over by then as if the query's own time were up, and the decisions give the answer their own rules ask for (a redoable query is dismissed, one that may have run is terminated). Queries that the decisions left unanswered are counted in Survey::overdue.

Test: the stop scenario ends with 'overdue 0' and a dismissal where there was a last-resort 502; ending.txt for the decisions.

--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -93,6 +93,8 @@
     until: Option<Duration>,
     /// How queries ended, by place of the product.
     ended: Vec<Ended>,
+    /// Those that the decisions left unanswered till their time was up.
+    overdue: u64,
 }
 
 impl Module {
@@ -100,6 +102,7 @@
     pub fn new(given: Given, known: Vec<Entry>, purges: Vec<Flush>) -> Self {
         let mut module = Module {
             decisions: Dispatcher::new(given.deployment.clone(), given.seed),
+            overdue: 0,
             ended: vec![Ended::default(); given.products.len()],
             given,
             probes: BTreeMap::new(),
@@ -192,7 +195,15 @@
             }
             Word::Leaving { until } => {
                 self.until = Some(until);
-                self.due.extend(self.open.keys().map(|id| Reverse((until, Due::Outer(*id)))));
+                // Their legs end by then, and the decisions answer them as if their own time were up.
+                for (id, open) in self.open.iter_mut().filter(|(_, open)| open.ends > until) {
+                    open.ends = until;
+                    let out = open.legs.iter().enumerate().filter(|(_, leg)| leg.out);
+                    let legs = out.map(|(no, _)| Due::Leg((*id, LegNo(no as u16))));
+                    self.due.extend(legs.map(|leg| Reverse((until, leg))));
+                    self.due.push(Reverse((until + self.given.slack / 2, Due::Outer(*id))));
+                }
+                self.events.push_back(Event::Ending { by: until });
             }
             Word::Answered { key, answer } => self.answered(key, answer),
             Word::Fell { key, outcome } => self.end_leg(key, outcome, None, Duration::ZERO),
@@ -218,6 +229,7 @@
                 survey.views = self.decisions.views();
                 survey.ended = self.ended.clone();
                 (survey.open, survey.words) = (self.open.len(), self.given.mail.len());
+                survey.overdue = self.overdue;
                 reply(survey);
             }
         }
@@ -473,6 +485,7 @@
                             leaving = self.until.is_some(),
                             "no answer from the module in time"
                         );
+                        self.overdue += 1;
                         self.answer(id, Answer::Terminated);
                         self.events.push_back(Event::ClientLeft(id));
                     }
--- a/crates/rockflow-dispatcher/src/words.rs
+++ b/crates/rockflow-dispatcher/src/words.rs
@@ -195,4 +195,6 @@
     /// Queries open, words waiting at the module.
     pub open: usize,
     pub words: usize,
+    /// Queries that the decisions left unanswered till their time was up; none, unless something is wrong.
+    pub overdue: u64,
 }
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -19,9 +19,10 @@
 //!     mark NAME=draining|gone ... [until=MS]   operators' marks, in place of those before; the start said `marked`
 //!     wait MS                           time passes
 //!     stop | over                       a planned stop begins; it has come to its end
+//!     overdue N                         queries so far that the decisions left without an answer in time
 
 use rockflow::interface::Readiness;
-use rockflow_dispatcher::{Clock, Phase, Service, Told};
+use rockflow_dispatcher::{Clock, Link, Phase, Service, Told};
 use rockflow_management::membership::{Mark, Marks};
 use serde_json::{json, Value};
 use std::cell::Cell;
@@ -123,6 +124,7 @@
     service: Option<Service>,
     address: Option<SocketAddr>,
     stopping: Option<JoinHandle<Service>>,
+    link: Option<Link>,
     got: Instant,
 }
 
@@ -190,6 +192,7 @@
             ("start", _) => self.start(&words),
             ("stop", _) => {
                 let mut service = self.service.take().unwrap();
+                self.link = Some(service.link());
                 assert_eq!(service.phase(), Phase::Serving);
                 self.stopping = Some(std::thread::spawn(move || {
                     service.stop();
@@ -200,6 +203,12 @@
                 let service = self.stopping.take().unwrap().join().unwrap();
                 assert_eq!(service.phase(), Phase::Over);
             }
+            ("overdue", count) => {
+                let (done, wait) = std::sync::mpsc::channel();
+                let link = self.link.clone().unwrap_or_else(|| self.service.as_ref().unwrap().link());
+                assert!(link.survey(move |survey| done.send(survey.overdue).unwrap()));
+                assert_eq!(wait.recv_timeout(PATIENCE).unwrap().to_string(), count);
+            }
             ("mark", _) => {
                 let link = self.service.as_ref().unwrap().link();
                 let until = words.iter().find_map(|word| word.strip_prefix("until="));
@@ -319,6 +328,7 @@
         service: None,
         address: None,
         stopping: None,
+        link: None,
         got: Instant::now(),
     };
     let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -236,6 +236,10 @@
     },
     LegEnded(LegEnd),
     ClientLeft(QueryId),
+    /// The program ends: every open query needs its answer by then.
+    Ending {
+        by: Duration,
+    },
     TimerDue(TimerId),
     Probed {
         host: HostId,
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -271,6 +271,10 @@
                 self.open.entry(query).and_modify(|open| open.over = true);
                 self.emit(query);
             }
+            Event::Ending { by } => {
+                let earlier = |at: &mut Duration| *at = (*at).min(by);
+                self.open.values_mut().flat_map(|open| [&mut open.ends, &mut open.due]).for_each(earlier);
+            }
             Event::TimerDue(_) => self.actions = self.start(),
             Event::Purged { object, group, ago } => self.purged(object, group, ago),
             Event::Probed { .. } | Event::Told { .. } => {}
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -208,6 +208,7 @@
                 fill_wait: Duration::ZERO,
             }),
             "left" => Event::ClientLeft(query),
+            "ending" => Event::Ending { by: span(get("by").expect("a time")) },
             "began" => Event::LegBegan { query, leg },
             "timer" => Event::TimerDue(TimerId(number(line, "id", 0) as u32)),
             "purge" => {
@@ -329,6 +330,7 @@
 #[test_case("drains")]
 #[test_case("cold")]
 #[test_case("effects")]
+#[test_case("ending")]
 #[test_case("silence")]
 #[test_case("avoided")]
 #[test_case("crowded")]
