Late fills from one location alone shut that way, not every fill

Traced, every query given up with its legs and the state of gates, loads and parents: nine in ten were given up behind a gate while caches had room, parents were fit and few were avoided. Ruled out: cold caches, crowded caches (pick_cache found one), avoided hosts (mostly none), fills of the origin.

At fault: rules.rs, judge: a time-out or late fill counted against the two gates for all sources unless its own source was already avoided, and with some twelve queries a second a dispatcher gets there only after the gates are shut at a tenth.

Change: a late fill shuts the gate of the way from its location while fills from another location come in time; what has no place there goes on in hash order to a location whose fills are not late. Troubles common to all ways are treated as before.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -121,6 +121,8 @@
     aim: Aim,
     present: Present,
     sent: Duration,
+    /// Where its source is.
+    from: Option<LocationId>,
 }
 
 #[derive(Debug)]
@@ -205,6 +207,26 @@
     }
 }
 
+/// What fills from the sources of one location come through.
+#[derive(Debug)]
+struct Way {
+    gate: Gate,
+    late: Decaying,
+    timely: Decaying,
+}
+
+impl Way {
+    fn new(health: Decaying) -> Self {
+        Way { gate: Gate::new(health), late: health, timely: health }
+    }
+
+    /// Whether fills from there are known to come in time.
+    fn well(&self, now: Duration) -> bool {
+        let (late, timely) = (self.late.read(now), self.timely.read(now));
+        late + timely >= SICK_FROM && late <= SCARCE_SHARE * (late + timely)
+    }
+}
+
 pub struct Dispatcher {
     told: Deployment,
     rows: Vec<Row>,
@@ -220,6 +242,8 @@
     /// What comes over the location's link from a source, and what is fetched for a parent that lacks it.
     link: Gate,
     depth: Gate,
+    /// By the location of the source: what strikes fills from there alone.
+    ways: BTreeMap<LocationId, Way>,
     /// When an object, or a whole group, was purged.
     purges: BTreeMap<(Option<GroupId>, Option<ObjectId>), Duration>,
     chance: oorandom::Rand64,
@@ -246,6 +270,7 @@
             health,
             link: Gate::new(health),
             depth: Gate::new(health),
+            ways: BTreeMap::new(),
             purges: BTreeMap::new(),
             chance: oorandom::Rand64::new(u128::from(seed)),
             now: Duration::ZERO,
@@ -317,6 +342,7 @@
                 (host.good, host.bad, host.restarted) = (self.health, self.health, None);
                 host.answers_since_start = 0.0;
             }
+            self.ways.entry(listing.location).or_insert(Way::new(self.health));
             host.listing = listing;
             self.hosts.insert(id, host);
             if !self.listed {
@@ -550,7 +576,10 @@
         let pause = self.told.longest_pause.map(|pause| pause.mul_f64(spread));
         let open = self.open.get_mut(&id).expect("looked up above");
         match next {
-            Some((aim, plan)) => open.legs.push(LegState { plan, aim, present: Present::Unsent, sent }),
+            Some((aim, plan)) => {
+                let from = plan.source.and_then(|id| self.hosts.get(&id)).map(|host| host.listing.location);
+                open.legs.push(LegState { plan, aim, present: Present::Unsent, sent, from });
+            }
             None if dismissible => open.answer = Some(Action::Dismiss { query: id, pause }),
             None => open.answer = Some(Action::Terminate { query: id }),
         }
@@ -576,14 +605,18 @@
             };
             // Exception: while fills are scarce, a look first; only what is missed takes a place for a fill.
             // It asks the parent too, unless the link is full or the parent cold: hits would eat its budget.
-            let (link, depth) = (self.link.scarce(self.now), self.depth.scarce(self.now));
+            let source = self.pick_source(open);
+            let way = source.and_then(|id| self.way(id));
+            let gates = [Some(&self.link), way.map(|way| &way.gate)];
+            let link = gates.into_iter().flatten().any(|gate| gate.scarce(self.now));
+            let depth = self.depth.scarce(self.now);
             let deep = open.legs.iter().any(|leg| leg.aim == Aim::Look && leg.plan.source.is_some());
             let afresh = told.cacheable && !crowded && open.had(Aim::Fetch) == 0;
-            let source = self.pick_source(open);
             let cold = source.is_some_and(|id| self.share(&self.hosts[&id]) < 1.0);
             let shallow = afresh && open.had(Aim::Look) == 0 && (link || cold);
             let look = shallow || afresh && depth && !deep && !cold;
-            let full = self.link.shut(self.now, open.lot) || !look && self.depth.shut(self.now, open.lot);
+            let link_full = gates.into_iter().flatten().any(|gate| gate.shut(self.now, open.lot));
+            let full = link_full || !look && self.depth.shut(self.now, open.lot);
             // Exception: a crowded cache is asked only for what it holds; fills would crowd the hits out.
             let bare = told.cacheable && (crowded || full && !shallow) || open.barren;
             match source.filter(|_| !bare) {
@@ -673,7 +706,16 @@
         let (query, mean) = (&open.query, self.sending(open.query.product).0);
         let sources = self.fit(self.order(Role::Parent, query), open, mean);
         let origin = || self.order(Role::Origin, query).into_iter().find(|id| !open.failed.contains(id));
-        sources.first().copied().or_else(origin)
+        // Exception: past a location where a fill has no place, in hash order to one whose fills come in time.
+        let shut = |id: &HostId| self.way(*id).is_some_and(|way| way.gate.shut(self.now, open.lot));
+        let free = |id: &HostId| self.way(*id).is_none_or(|way| !way.gate.scarce(self.now));
+        let first = sources.first().copied();
+        let other = first.filter(shut).and_then(|_| sources.iter().copied().find(free));
+        other.or(first).or_else(origin)
+    }
+
+    fn way(&self, source: HostId) -> Option<&Way> {
+        self.ways.get(&self.hosts.get(&source)?.listing.location)
     }
 
     /// Those that can take a leg now: the well ones, or if there are none the sick. Trials go by lot, to the
@@ -693,9 +735,9 @@
             return;
         }
         leg.present = Present::Over(end.outcome);
-        let plan = leg.plan;
+        let (plan, from) = (leg.plan, leg.from);
         open.over |= end.over;
-        let failed = self.judge(&end, plan);
+        let failed = self.judge(&end, plan, from);
         self.open.entry(end.query).and_modify(|open| {
             open.failed.extend(failed);
             open.barren |= end.note == Note::OriginFailed;
@@ -705,7 +747,7 @@
     }
 
     /// Books an outcome by what the answer says, and returns what this query should leave out from now on.
-    fn judge(&mut self, end: &LegEnd, plan: Leg) -> Option<HostId> {
+    fn judge(&mut self, end: &LegEnd, plan: Leg, from: Option<LocationId>) -> Option<HostId> {
         let now = self.now;
         let open = &self.open[&end.query];
         let (product, in_time, sized) = (open.query.product, now <= open.due, open.query.size_kb > 0.0);
@@ -722,6 +764,9 @@
             }
         }
         let fill_leg = plan.source.is_some() && !plan.held_at_source;
+        if let Some(way) = from.and_then(|at| self.ways.get_mut(&at)) {
+            way.gate.out = way.gate.out.saturating_sub(1);
+        }
         self.link.out = self.link.out.saturating_sub(usize::from(plan.source.is_some()));
         self.depth.out = self.depth.out.saturating_sub(usize::from(fill_leg));
         if end.outcome == Outcome::Succeeded && !(sized && self.told.stream_kb_per_s > 0.0) {
@@ -773,12 +818,22 @@
         };
         // What the parent held tells of the link, what it had to fetch of what lies behind.
         let own = [host, source].into_iter().flatten().any(|id| self.sick(id));
-        if late && !own || end.outcome == Outcome::Succeeded && in_time {
-            let over_link = matches!(end.outcome, Outcome::Succeeded | Outcome::TimedOut) && past;
-            if over_link && (plan.held_at_source || end.note == Note::Filled) {
+        let weighed = late && !own || end.outcome == Outcome::Succeeded && in_time;
+        if let Some(at) = from.filter(|_| weighed) {
+            // What strikes the sources of one location alone is a trouble on the way there, not behind them.
+            let common = !self.ways.iter().any(|(other, way)| *other != at && way.well(now));
+            let told = matches!(end.outcome, Outcome::Succeeded | Outcome::TimedOut) && past;
+            let over_link = told && (plan.held_at_source || end.note == Note::Filled);
+            if let Some(way) = self.ways.get_mut(&at) {
+                if late { &mut way.late } else { &mut way.timely }.add(now, 1.0);
+                if !late || !common {
+                    way.gate.weigh(now, !late);
+                }
+            }
+            if over_link && (!late || common) {
                 self.link.weigh(now, !late);
             }
-            if fill_leg {
+            if fill_leg && (!late || common) {
                 self.depth.weigh(now, !late);
             }
         }
@@ -799,7 +854,7 @@
             match leg.present {
                 Present::Unsent if !open.over => {
                     leg.present = Present::Out;
-                    sent.push(leg.plan);
+                    sent.push((leg.plan, leg.from));
                     self.actions.push(Action::Send { query: id, leg: leg.plan });
                 }
                 Present::Out if self.told.cancel && !open.begun && open.over => {
@@ -815,7 +870,10 @@
             self.open.remove(&id);
         }
         let (now, (mean, _)) = (self.now, self.sending(product));
-        for plan in sent {
+        for (plan, from) in sent {
+            if let Some(way) = from.and_then(|at| self.ways.get_mut(&at)) {
+                way.gate.out += 1;
+            }
             self.link.out += usize::from(plan.source.is_some());
             self.depth.out += usize::from(plan.source.is_some() && !plan.held_at_source);
             self.hosts.entry(plan.host).and_modify(|host| host.out += 1);
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -335,6 +335,7 @@
 #[test_case("avoided")]
 #[test_case("crowded")]
 #[test_case("scarce")]
+#[test_case("ways")]
 #[test_case("answers")]
 #[test_case("discovery")]
 #[test_case("oddities")]
