One leg at a shared cache of which less than a transfer is ours is no crowd

A cache that fits some two transfers, shared by six dispatchers, is at 1.03 for one with nothing out there and at 2.6 with one leg out: past the calm load by its own single leg, and none is ever 'idle'.

At fault: rules.rs, load: what is taken off as chance is one standard deviation whatever the part is; of a part under one transfer a leg of one's own tells nothing. Harmless in one dispatcher, harmful in all. How long hits take still shows what the others send.

Change: more is taken off in proportion where the part is less than one transfer.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -452,7 +452,8 @@
     fn load(&self, id: HostId) -> f64 {
         let host = &self.hosts[&id];
         let others = 1.0 - 1.0 / self.told.seats.max(1) as f64;
-        let chance = CHANCE_PART * libm::sqrt(others) / 2.0;
+        // Where the part is less than one transfer, one leg is no sign of what the others send.
+        let chance = CHANCE_PART * libm::sqrt(others) / 2.0 / self.lanes(host).min(1.0);
         let root = libm::sqrt((host.out + 1) as f64 + chance * chance) - chance;
         let [took, work] = host.hits.map(|sum| sum.read(self.now) + SLOW_PRIOR * sum.memory);
         let slow = if others > 0.0 { took / work } else { 0.0 };
