Ways are kept for the locations of sources only

Found on reading the change once more: a way was kept for every listed location, some fifty of caches among two of sources, and looked through at each judgement of a fill, though only a source's can ever hold anything; its cap was not named. No decision changes: a way without evidence is never well.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -242,7 +242,7 @@
     /// What comes over the location's link from a source, and what is fetched for a parent that lacks it.
     link: Gate,
     depth: Gate,
-    /// By the location of the source: what strikes fills from there alone.
+    /// By the location of the source, no more than there are told: what strikes fills from there alone.
     ways: BTreeMap<LocationId, Way>,
     /// When an object, or a whole group, was purged.
     purges: BTreeMap<(Option<GroupId>, Option<ObjectId>), Duration>,
@@ -342,7 +342,9 @@
                 (host.good, host.bad, host.restarted) = (self.health, self.health, None);
                 host.answers_since_start = 0.0;
             }
-            self.ways.entry(listing.location).or_insert(Way::new(self.health));
+            if listing.role != Role::Cache {
+                self.ways.entry(listing.location).or_insert(Way::new(self.health));
+            }
             host.listing = listing;
             self.hosts.insert(id, host);
             if !self.listed {
