A board that moves during a planned stop is followed: SIGHUP is heeded to the end

Seen: SIGHUP during a planned stop did nothing.

Service::stop_heeding calls back between its looks, and main reads both files again there.

Tests: a scenario (a source gone and a purge told by the new board bind what still comes), and ten processes of which one is being stopped while all get SIGHUP.

--- a/crates/rockflow-cli/src/main.rs
+++ b/crates/rockflow-cli/src/main.rs
@@ -5,7 +5,7 @@
 
 use beside::{Beside, Files};
 use clap::{CommandFactory, Parser, Subcommand};
-use rockflow_dispatcher::{Clock, Told};
+use rockflow_dispatcher::{Clock, Service, Told};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::fmt::Display;
@@ -129,7 +129,7 @@
         let _ = level_of.modify(|filter| *filter = LevelFilter::from_level(told));
     };
     let mut service = beside.start(Clock::start(), told, Box::new(set_level))?;
-    for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
+    let read_again = |service: &mut Service| {
         match source.read() {
             Ok(told) => service.reload(&told),
             Err(what) => tracing::error!(what, "configuration not taken; the old one stays in force"),
@@ -139,7 +139,14 @@
             Ok(_) => tracing::warn!("the operator's file has changed; that takes a restart"),
             Err(what) => tracing::error!(what, "operator's file not taken; the old one stays in force"),
         }
+    };
+    for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
+        read_again(&mut service);
     }
-    service.stop();
+    service.stop_heeding(|service| {
+        if signals.pending().any(|signal| signal == SIGHUP) {
+            read_again(service);
+        }
+    });
     Ok(())
 }
--- a/crates/rockflow-cli/tests/signals.rs
+++ b/crates/rockflow-cli/tests/signals.rs
@@ -53,3 +53,22 @@
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(&path).unwrap();
 }
+
+/// SIGHUP that moves the board while a tenth of the fleet is being stopped: it reaches those too, each asks the new
+/// board from its last number, and each stop ends with 0.
+#[test]
+fn a_board_that_moves_during_a_planned_stop_is_followed_by_all() {
+    let path = std::env::temp_dir().join(format!("rockflow-moved-{}.json", std::process::id()));
+    let first = configure(&path);
+    let start = |_| Command::new(env!("CARGO_BIN_EXE_rockflow")).arg("serve").env("GW_CONFIG", &path).spawn();
+    let mut fleet: Vec<Child> = (0..10).map(start).map(Result::unwrap).collect();
+    let kept: Vec<_> = fleet.iter().map(|_| called(&first)).collect();
+    let second = configure(&path);
+    signal(&fleet[0], "TERM");
+    fleet.iter().for_each(|child| signal(child, "HUP"));
+    let moved: Vec<_> = fleet.iter().map(|_| called(&second)).collect();
+    fleet[1..].iter().for_each(|child| signal(child, "TERM"));
+    assert!(fleet.iter_mut().all(|child| child.wait().unwrap().success()));
+    drop((kept, moved));
+    std::fs::remove_file(&path).unwrap();
+}
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -36,7 +36,7 @@
 const LONGEST_HEEDED: Duration = Duration::from_secs(3);
 /// Left of that time for the last answers to go out.
 const TO_GO_OUT: Duration = Duration::from_millis(150);
-/// How often the last queries are looked for.
+/// How often a planned stop looks whether it is over.
 const LOOK: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -213,20 +213,34 @@
 
     /// A planned stop, to its end; blocks the calling thread.
     pub fn stop(&mut self) {
+        self.stop_heeding(|_| {});
+    }
+
+    /// The same; `between` is called every few milliseconds until the end. Guards against deafness in the time
+    /// that a stop takes: what still comes goes by the list, and the board may move meanwhile.
+    pub fn stop_heeding(&mut self, mut between: impl FnMut(&mut Service)) {
         self.enter(Phase::Leaving);
-        let end = self.door.clock.now() + STILL_COMING + self.door.longest.min(LONGEST_HEEDED);
+        let quiet = self.door.clock.now() + STILL_COMING;
+        let end = quiet + self.door.longest.min(LONGEST_HEEDED);
         self.door.module.send_urgent(Word::Leaving { until: end - TO_GO_OUT });
-        std::thread::sleep(STILL_COMING);
+        self.pass(&mut between, |service| service.door.clock.now() >= quiet);
         self.enter(Phase::Finishing);
         self.door.closing.store(true, Ordering::Relaxed);
         self.door.look();
-        while self.door.open.load(Ordering::Relaxed) > 0 && self.door.clock.now() < end {
-            std::thread::sleep(LOOK);
-        }
+        self.pass(&mut between, |service| {
+            service.door.open.load(Ordering::Relaxed) == 0 || service.door.clock.now() >= end
+        });
         // The last answers are in the sockets' hands once their actors have run.
         std::thread::sleep(LOOK);
         self.enter(Phase::Over);
     }
+
+    fn pass(&mut self, between: &mut impl FnMut(&mut Service), over: impl Fn(&Service) -> bool) {
+        while !over(self) {
+            between(self);
+            std::thread::sleep(LOOK);
+        }
+    }
 }
 
 /// Starts one of the dispatcher's own parts. One that panics is started again: without it nothing is decided,
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -29,6 +29,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::Sender;
 use std::sync::Once;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -124,6 +125,8 @@
     service: Option<Service>,
     address: Option<SocketAddr>,
     stopping: Option<JoinHandle<Service>>,
+    /// Configurations for a dispatcher that is stopping.
+    reloads: Option<Sender<Told>>,
     link: Option<Link>,
     got: Instant,
 }
@@ -194,8 +197,10 @@
                 let mut service = self.service.take().unwrap();
                 self.link = Some(service.link());
                 assert_eq!(service.phase(), Phase::Serving);
+                let (reloads, told) = std::sync::mpsc::channel();
+                self.reloads = Some(reloads);
                 self.stopping = Some(std::thread::spawn(move || {
-                    service.stop();
+                    service.stop_heeding(|service| told.try_iter().for_each(|told| service.reload(&told)));
                     service
                 }));
             }
@@ -226,7 +231,10 @@
             ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
             ("reload", board) => {
                 let told = self.told(board, &[]);
-                self.service.as_mut().unwrap().reload(&told);
+                match &mut self.service {
+                    Some(service) => service.reload(&told),
+                    None => self.reloads.as_ref().expect("stopping").send(told).unwrap(),
+                }
             }
             ("board" | "board2", "takes") => {
                 let board = self.party(name);
@@ -320,6 +328,7 @@
 #[test_case(include_str!("scenarios/marks.txt"); "marks")]
 #[test_case(include_str!("scenarios/marks-expire.txt"); "marks that expire")]
 #[test_case(include_str!("scenarios/stop.txt"); "stop")]
+#[test_case(include_str!("scenarios/stop-moved.txt"); "stop while the board moves")]
 fn scenario(text: &str) {
     OURS.set(true);
     let mut play = Play {
@@ -328,6 +337,7 @@
         service: None,
         address: None,
         stopping: None,
+        reloads: None,
         link: None,
         got: Instant::now(),
     };
