The host list's merge has a package of its own: the plain build reads no YANG

Cause: rockflow-dispatcher took the merge of board and marks from rockflow-management, so the plain program stood on operators' datastores and a YANG parser that it never used. The merge is rockflow-roster now, below both; what reads marks out of a configuration stayed in management.

Untied: wires.rs holds what lines share (host.rs and line.rs imported each other), words.rs holds the phases (service.rs and link.rs) and, in management, who asks and what came of it (machine.rs with fault.rs and record.rs).

Nothing decides otherwise.

--- a/crates/rockflow-agent/src/lib.rs
+++ b/crates/rockflow-agent/src/lib.rs
@@ -3,9 +3,9 @@
 //! section there is no agent, and nothing of it is started.
 
 use rockflow_dispatcher::{Clock, Link};
-use rockflow_management::membership::Marks;
 use rockflow_operator::desk::SetLevel;
 use rockflow_operator::{Desk, Opened, OperatorFile};
+use rockflow_roster::Marks;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tracing::{error, info};
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -1,17 +1,16 @@
 //! The actor of a host: chooses the line on which each order goes, and opens another where none will do.
 
-use crate::clock::Clock;
-use crate::line::Line;
+use crate::line;
 use crate::mailbox::{Mailbox, Wake};
 use crate::rest;
+use crate::wires::{Line, Wires};
 use crate::words::{Fallen, LineWord, Order, Wanted, Word};
 use may::coroutine;
 use rockflow::interface::{Outcome, QueryId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tracing::debug;
 
@@ -24,38 +23,6 @@
 /// Part of the cap on connections up to which a leg gets one to itself.
 const OWN_PART: f64 = 0.75;
 
-/// What all lines to hosts share.
-pub struct Wires {
-    pub clock: Clock,
-    pub module: Arc<Mailbox<Word>>,
-    pub connect_limit: Duration,
-    /// A host closes a connection that was idle for this time.
-    pub idle_limit: Duration,
-    /// Legs that one connection carries at once.
-    pub most_streams: usize,
-    /// Bytes that may wait to be written on one connection.
-    pub line_out: usize,
-    /// Connections to all hosts, and their cap.
-    pub lines: Mutex<BTreeMap<u64, Arc<Line>>>,
-    pub next_line: AtomicU64,
-    pub most_lines: usize,
-    /// Bytes of answers that are held, and their cap.
-    pub held: Arc<AtomicUsize>,
-    pub most_held: usize,
-}
-
-impl Wires {
-    /// No coroutine gives way while it holds this lock.
-    pub fn lines(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Line>>> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Has every connection on which an answer has begun look whether it goes on.
-    pub fn look(&self) {
-        self.lines().values().filter(|line| line.is_midway()).for_each(|line| line.send(LineWord::Look));
-    }
-}
-
 pub struct Host {
     pub name: String,
     pub address: SocketAddr,
@@ -174,7 +141,7 @@
             return None;
         }
         lines.iter().filter(|line| line.is_spent(&self.wires)).for_each(|line| line.send(LineWord::Retire));
-        let line = Line::start(self.name.clone(), self.address, self.wires.clone(), self.mail.clone());
+        let line = line::start(self.name.clone(), self.address, self.wires.clone(), self.mail.clone());
         lines.push(line.clone());
         Some(line)
     }
--- a/crates/rockflow-dispatcher/src/lib.rs
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -15,9 +15,11 @@
 mod rest;
 pub mod service;
 pub mod told;
+pub mod wires;
 pub mod words;
 
 pub use clock::Clock;
 pub use link::Link;
-pub use service::{Phase, Service};
+pub use service::Service;
 pub use told::Told;
+pub use words::Phase;
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,7 +1,7 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
-use crate::host::Wires;
 use crate::mailbox::{Mailbox, Wake};
+use crate::wires::{lock, Line, Wires};
 use crate::words::{Fallen, LegKey, LineWord, Order, Wanted, Word};
 use may::io::WaitIo;
 use may::net::TcpStream;
@@ -12,102 +12,34 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tracing::{debug, error, info, warn};
 
-/// Part of the told idle time after which a connection is not used again: the host may be closing it.
-const IDLE_PART: f64 = 0.8;
 /// Ids on a line that were never answered, in times the legs it carries at once; past it the line is spent.
 const MOST_UNANSWERED: usize = 8;
 
-/// What the host's actor sees of a line.
-pub struct Line {
-    mail: Arc<Mailbox<LineWord>>,
-    up: AtomicBool,
-    over: AtomicBool,
-    /// An answer has begun.
-    midway: AtomicBool,
-    /// Nothing new goes on it.
-    spent: AtomicBool,
-    out: AtomicUsize,
-    used: Mutex<Duration>,
-    /// Ids whose answers may still come, given up or not: another leg under one could not be told apart.
-    unanswered: Mutex<BTreeSet<String>>,
-}
-
-impl Line {
-    pub fn start(
-        name: String,
-        address: SocketAddr,
-        wires: Arc<Wires>,
-        host: Arc<Mailbox<Order>>,
-    ) -> Arc<Line> {
-        let line = Arc::new(Line {
-            mail: Mailbox::new(),
-            up: AtomicBool::new(false),
-            over: AtomicBool::new(false),
-            midway: AtomicBool::new(false),
-            spent: AtomicBool::new(false),
-            out: AtomicUsize::new(0),
-            used: Mutex::new(wires.clock.now()),
-            unanswered: Mutex::new(BTreeSet::new()),
-        });
-        let number = wires.next_line.fetch_add(1, Ordering::Relaxed);
-        wires.lines().insert(number, line.clone());
-        let shared = line.clone();
-        may::go!(move || {
-            let fallen = run(&name, address, &wires, &shared);
-            wires.lines().remove(&number);
-            host.send(Order::LineOver(fallen));
-        });
-        line
-    }
-
-    /// The connection came up and has not ended.
-    pub fn is_up(&self) -> bool {
-        self.up.load(Ordering::Relaxed) && !self.is_over()
-    }
-
-    pub fn is_midway(&self) -> bool {
-        self.midway.load(Ordering::Relaxed)
-    }
-
-    pub fn out(&self) -> usize {
-        self.out.load(Ordering::Relaxed)
-    }
-
-    pub fn used(&self) -> Duration {
-        *lock(&self.used)
-    }
-
-    pub fn is_over(&self) -> bool {
-        self.over.load(Ordering::Relaxed)
-    }
-
-    pub fn send(&self, word: LineWord) {
-        if let LineWord::Want(wanted) = &word {
-            lock(&self.unanswered).insert(wanted.id.clone());
-            self.out.fetch_add(1, Ordering::Relaxed);
-        }
-        self.mail.send(word);
-    }
-
-    pub fn takes(&self, id: &str, wires: &Wires) -> bool {
-        let again = lock(&self.unanswered).contains(id);
-        !self.is_over() && !again && !self.is_spent(wires) && self.out() < wires.most_streams
-    }
-
-    /// Whether nothing new will ever go on it.
-    pub fn is_spent(&self, wires: &Wires) -> bool {
-        let idle = wires.clock.now().saturating_sub(self.used());
-        self.spent.load(Ordering::Relaxed) || idle >= wires.idle_limit.mul_f64(IDLE_PART)
-    }
-}
-
-/// No coroutine gives way while it holds one of these.
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+/// Starts the actor of a new connection, which tells the host's mailbox of its end.
+pub fn start(name: String, address: SocketAddr, wires: Arc<Wires>, host: Arc<Mailbox<Order>>) -> Arc<Line> {
+    let line = Arc::new(Line {
+        mail: Mailbox::new(),
+        up: AtomicBool::new(false),
+        over: AtomicBool::new(false),
+        midway: AtomicBool::new(false),
+        spent: AtomicBool::new(false),
+        out: AtomicUsize::new(0),
+        used: Mutex::new(wires.clock.now()),
+        unanswered: Mutex::new(BTreeSet::new()),
+    });
+    let number = wires.next_line.fetch_add(1, Ordering::Relaxed);
+    wires.lines().insert(number, line.clone());
+    let shared = line.clone();
+    may::go!(move || {
+        let fallen = run(&name, address, &wires, &shared);
+        wires.lines().remove(&number);
+        host.send(Order::LineOver(fallen));
+    });
+    line
 }
 
 /// Returns the legs that ended with the line: those that may have run, and those that never did.
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -1,9 +1,9 @@
 //! Takes in clients' connections, up to the cap; past it they wait unaccepted till a query has its answer.
 
 use crate::client::{self, Door};
-use crate::host::Wires;
 use crate::mailbox::Mailbox;
 use crate::rest;
+use crate::wires::Wires;
 use crate::words::BoardWord;
 use may::net::TcpListener;
 use may::sync::Semphore;
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -2,9 +2,10 @@
 //! time limits, and carries out actions. It decides nothing.
 
 use crate::clock::Clock;
-use crate::host::{Host, Wires};
+use crate::host::Host;
 use crate::mailbox::{Mailbox, Wake};
 use crate::rest;
+use crate::wires::Wires;
 use crate::words::*;
 use may::coroutine;
 use rockflow::interface::*;
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -4,7 +4,6 @@
 use crate::caps::Caps;
 use crate::client::Door;
 use crate::clock::Clock;
-use crate::host::Wires;
 use crate::link::Link;
 use crate::list::{List, Reading};
 use crate::listener;
@@ -12,11 +11,12 @@
 use crate::module::{Given, Module};
 use crate::rest;
 use crate::told::{Told, Unchanging};
-use crate::words::{BoardWord, Word};
+use crate::wires::Wires;
+use crate::words::{BoardWord, Phase, Word};
 use may::coroutine::Builder;
 use may::net::TcpListener;
 use may::sync::Semphore;
-use rockflow_management::membership::{Marks, Roll};
+use rockflow_roster::{Marks, Roll};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -39,18 +39,6 @@
 /// How often a planned stop looks whether it is over.
 const LOOK: Duration = Duration::from_millis(10);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Actors are started; queries can't be decided yet.
-    Starting,
-    Serving,
-    /// A stop was asked for; what still comes is taken.
-    Leaving,
-    /// Nothing more comes; what was taken is answered.
-    Finishing,
-    Over,
-}
-
 pub struct Service {
     phase: Phase,
     listens_at: SocketAddr,
--- a/crates/rockflow-dispatcher/src/words.rs
+++ b/crates/rockflow-dispatcher/src/words.rs
@@ -2,10 +2,10 @@
 
 use crate::mailbox::Mailbox;
 use rockflow::interface::*;
-use rockflow_management::membership::{Marks, Member};
 use rockflow_protocol::board::{Flush, Notice};
 use rockflow_protocol::front::{Answer, Ask};
 use rockflow_protocol::hostline;
+use rockflow_roster::{Marks, Member};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,19 @@
 /// A leg as the module knows it.
 pub type LegKey = (QueryId, LegNo);
 
+/// Where a dispatcher is between its start and its exit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Actors are started; queries can't be decided yet.
+    Starting,
+    Serving,
+    /// A stop was asked for; what still comes is taken.
+    Leaving,
+    /// Nothing more comes; what was taken is answered.
+    Finishing,
+    Over,
+}
+
 /// Names on the sockets as ids of the decisions; the same at every dispatcher.
 pub fn id_of(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
--- a/crates/rockflow-dispatcher/tests/scenarios.rs
+++ b/crates/rockflow-dispatcher/tests/scenarios.rs
@@ -23,7 +23,7 @@
 
 use rockflow::interface::Readiness;
 use rockflow_dispatcher::{Clock, Link, Phase, Service, Told};
-use rockflow_management::membership::{Mark, Marks};
+use rockflow_roster::{Mark, Marks};
 use serde_json::{json, Value};
 use std::cell::Cell;
 use std::collections::BTreeMap;
--- a/crates/rockflow-management/src/fault.rs
+++ b/crates/rockflow-management/src/fault.rs
@@ -1,6 +1,6 @@
 //! What goes wrong, in the words of RFC 6241, appendix A; fronts of other protocols translate them.
 
-use crate::machine::SessionId;
+use crate::words::SessionId;
 use rockflow_yang::data::{EditError, EditFault};
 use rockflow_yang::Path;
 use std::fmt;
--- a/crates/rockflow-management/src/machine.rs
+++ b/crates/rockflow-management/src/machine.rs
@@ -7,56 +7,16 @@
 
 use crate::access::{Access, Operation};
 use crate::fault::{Fault, Tag};
-use crate::membership::{self, Listed, Marks};
+use crate::marks::marks;
 use crate::record::{Record, Trial};
+use crate::words::{Commit, Operator, Origin, SessionId};
+use rockflow_roster::{none_left, Listed, Marks};
 use rockflow_yang::data::{self, EditFault};
 use rockflow_yang::{Change, Data, Edit, Fields, Op, Path, Pattern, Scalar, Schema, Step};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct SessionId(pub u32);
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Protocol {
-    NetconfSsh,
-    NetconfTls,
-    Gnmi,
-    /// The dispatcher itself.
-    System,
-}
-
-impl Protocol {
-    pub fn name(self) -> &'static str {
-        match self {
-            Protocol::NetconfSsh => "netconf-ssh",
-            Protocol::NetconfTls => "netconf-tls",
-            Protocol::Gnmi => "gnmi",
-            Protocol::System => "system",
-        }
-    }
-
-    pub fn named(name: &str) -> Protocol {
-        let known = [Protocol::NetconfSsh, Protocol::NetconfTls, Protocol::Gnmi];
-        known.into_iter().find(|protocol| protocol.name() == name).unwrap_or(Protocol::System)
-    }
-}
-
-/// Who asks, as the transport proved, and from where.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Operator {
-    pub user: String,
-    pub protocol: Protocol,
-    pub source: String,
-}
-
-impl Operator {
-    pub fn system() -> Operator {
-        Operator { user: "rockflow".to_string(), protocol: Protocol::System, source: "-".to_string() }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Datastore {
     Running,
@@ -110,23 +70,6 @@
     }
 }
 
-/// Who said a value, and when.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Origin {
-    pub author: String,
-    pub version: u64,
-    pub time: Duration,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Commit {
-    pub version: u64,
-    pub who: Operator,
-    pub time: Duration,
-    pub comment: String,
-    pub changes: Vec<Change>,
-}
-
 /// How a commit is to be made.
 #[derive(Clone, Debug, Default)]
 pub struct Confirm {
@@ -313,7 +256,7 @@
     }
 
     pub fn marks(&self) -> Marks {
-        membership::marks(&self.schema, &self.running)
+        marks(&self.schema, &self.running)
     }
 
     pub fn separate_startup(&self) -> bool {
@@ -692,8 +635,8 @@
         }
         Access::of(&self.schema, after, self.owner.clone())
             .map_err(|what| Fault::new(Tag::InvalidValue, what))?;
-        let (old, new) = (self.marks(), membership::marks(&self.schema, after));
-        if let Some(what) = membership::none_left(&around.hosts, &old, &new, now) {
+        let (old, new) = (self.marks(), marks(&self.schema, after));
+        if let Some(what) = none_left(&around.hosts, &old, &new, now) {
             let message = format!("{what}; with force it is done all the same");
             return Err(Fault::new(Tag::OperationFailed, message).app("none-left"));
         }
--- /dev/null
+++ b/crates/rockflow-management/src/marks.rs
@@ -0,0 +1,36 @@
+//! Operators' marks on hosts, as the running configuration holds them.
+
+use rockflow::interface::Readiness;
+use rockflow_roster::{Mark, Marks};
+use rockflow_yang::{data, Data, Fields, Schema};
+
+/// The marks of a configuration.
+pub fn marks(schema: &Schema, running: &Fields) -> Marks {
+    let find = |name: &str| schema.find(&["router", "marks", "mark", name]);
+    let (Some(state), Some(expires), Some(force)) = (find("state"), find("expires"), find("force")) else {
+        return Marks::new();
+    };
+    let mut marks = Marks::new();
+    for (keys, fields) in entries(schema, running) {
+        let text = |id| fields.get(&id).and_then(Data::scalar).and_then(|value| value.as_text());
+        let readiness = if text(state) == Some("gone") { Readiness::Gone } else { Readiness::Draining };
+        let until = text(expires).and_then(crate::moment::read);
+        let force = fields.get(&force).and_then(Data::scalar).and_then(|value| value.as_bool());
+        if let Some(host) = keys.first().and_then(|key| key.as_text()) {
+            marks.insert(host.to_string(), Mark { readiness, until, force: force.unwrap_or(false) });
+        }
+    }
+    marks
+}
+
+/// The entries under `marks/mark`.
+fn entries<'a>(schema: &Schema, running: &'a Fields) -> Vec<(&'a rockflow_yang::Keys, &'a Fields)> {
+    let steps = ["router", "marks", "mark"];
+    let ids: Option<Vec<_>> = (1..=3).map(|n| schema.find(&steps[..n])).collect();
+    let path = ids.unwrap_or_default().into_iter();
+    let path: Vec<_> = path.map(|node| rockflow_yang::Step { node, keys: Vec::new() }).collect();
+    match data::get(running, &path) {
+        Some(data::Found::Data(Data::List(entries))) => entries.iter().collect(),
+        _ => Vec::new(),
+    }
+}
--- a/crates/rockflow-management/src/record.rs
+++ b/crates/rockflow-management/src/record.rs
@@ -1,7 +1,7 @@
 //! What lasts: the configuration in force, the startup one, the history and who said what, as one JSON text for
 //! a snapshot. Names are the model's, so that a later program reads what an earlier one wrote.
 
-use crate::machine::{Commit, Operator, Origin, Protocol};
+use crate::words::{Commit, Operator, Origin, Protocol};
 use rockflow_yang::{data, json, Change, Fields, Path, Scalar, Schema};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/rockflow-operator/src/state.rs
+++ b/crates/rockflow-operator/src/state.rs
@@ -3,8 +3,8 @@
 use rockflow::interface::{Effect, Readiness, Role};
 use rockflow_dispatcher::words::Survey;
 use rockflow_dispatcher::{Link, Phase};
-use rockflow_management::membership::{effective, Listed};
 use rockflow_management::{moment, Durable, Management, Surroundings};
+use rockflow_roster::{effective, Listed};
 use rockflow_yang::{Data, Fields, NodeId, Path, Scalar, Schema, Step};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/rockflow-management/src/membership.rs
+++ b/crates/rockflow-roster/src/lib.rs
@@ -1,4 +1,4 @@
-//! The one place where everything that says something about a host meets. What holds:
+//! The list of hosts: the one place where everything that says something about a host meets, without I/O. What holds:
 //!
 //! | the board says | the operator's mark says | holds | whose word |
 //! | --- | --- | --- | --- |
@@ -13,7 +13,6 @@
 //! successor under another inherits nothing.
 
 use rockflow::interface::{Readiness, Role};
-use rockflow_yang::{data, Data, Fields, Schema};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -75,37 +74,6 @@
     })
 }
 
-/// The marks of a configuration.
-pub fn marks(schema: &Schema, running: &Fields) -> Marks {
-    let find = |name: &str| schema.find(&["router", "marks", "mark", name]);
-    let (Some(state), Some(expires), Some(force)) = (find("state"), find("expires"), find("force")) else {
-        return Marks::new();
-    };
-    let mut marks = Marks::new();
-    for (keys, fields) in entries(schema, running) {
-        let text = |id| fields.get(&id).and_then(Data::scalar).and_then(|value| value.as_text());
-        let readiness = if text(state) == Some("gone") { Readiness::Gone } else { Readiness::Draining };
-        let until = text(expires).and_then(crate::moment::read);
-        let force = fields.get(&force).and_then(Data::scalar).and_then(|value| value.as_bool());
-        if let Some(host) = keys.first().and_then(|key| key.as_text()) {
-            marks.insert(host.to_string(), Mark { readiness, until, force: force.unwrap_or(false) });
-        }
-    }
-    marks
-}
-
-/// The entries under `marks/mark`.
-fn entries<'a>(schema: &Schema, running: &'a Fields) -> Vec<(&'a rockflow_yang::Keys, &'a Fields)> {
-    let steps = ["router", "marks", "mark"];
-    let ids: Option<Vec<_>> = (1..=3).map(|n| schema.find(&steps[..n])).collect();
-    let path = ids.unwrap_or_default().into_iter();
-    let path: Vec<_> = path.map(|node| rockflow_yang::Step { node, keys: Vec::new() }).collect();
-    match data::get(running, &path) {
-        Some(data::Found::Data(Data::List(entries))) => entries.iter().collect(),
-        _ => Vec::new(),
-    }
-}
-
 /// What the list says of a host, for the question whether enough are left.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
--- a/crates/rockflow-management/tests/membership.rs
+++ b/crates/rockflow-roster/tests/merge.rs
@@ -1,8 +1,7 @@
 //! What holds of a host where the board, operators and time disagree.
 
 use rockflow::interface::Readiness::{self, Draining, Gone, Ready};
-use rockflow_management::membership::{effective, Marks, Member};
-use rockflow_management::{Mark, Roll, Says};
+use rockflow_roster::{effective, Mark, Marks, Member, Roll, Says};
 use std::time::Duration;
 use test_case::test_case;
 
