--- /dev/null
+++ b/crates/rockflow-link/tests/frames.rs
@@ -0,0 +1,123 @@
+//! What comes from others is judged where it is read: nothing that is not whole, of this version and of this fleet, and
+//! within its bounds, gets through, and nothing makes it panic.
+
+use rockflow_fleet::*;
+use rockflow_link::frame::{decode, encode, Fault, MOST_BYTES, VERSION};
+use std::time::Duration;
+use test_case::test_case;
+
+fn told() -> Told {
+    Told {
+        members: ["a", "b", "c"].map(str::to_string).to_vec(),
+        keepers: 3,
+        keep: Duration::from_secs(30),
+        round_trip: Duration::from_millis(5),
+        most_kept: 100,
+        most_body: 1024,
+    }
+}
+
+fn seat(member: u16) -> Seat {
+    Seat { member: MemberId(member), life: Life(7) }
+}
+
+fn subject() -> Subject {
+    Subject { kind: Kind::Labelled, product: 1, object: 2, part: 3, group: 4, size: 5 }
+}
+
+fn write(body: usize) -> Message {
+    let ballot = Ballot::first(seat(1), 1);
+    let answer = Answer { ended: Ended::Succeeded, tag: Some("t".to_string()), body: Some(vec![7; body]) };
+    let content = Content { begun: vec![Begun { ballot, leg: 0, host: 9 }], answer: Some((ballot, answer)) };
+    let at = Step { call: CallId(11), ballot, step: 3 };
+    Message::Write { at, subject: subject(), content, left: Duration::from_millis(1500) }
+}
+
+fn sealed(messages: &[Message]) -> Vec<u8> {
+    let (mut frames, left_out) = encode(&told(), seat(1), messages);
+    assert_eq!((frames.len(), left_out), (1, 0));
+    frames.remove(0)
+}
+
+/// With its checksum made to fit again.
+fn resealed(mut bytes: Vec<u8>) -> Vec<u8> {
+    let length = bytes.len() - 4;
+    let sum = crc32fast::hash(&bytes[..length]);
+    bytes[length..].copy_from_slice(&sum.to_le_bytes());
+    bytes
+}
+
+#[test]
+fn what_is_sent_comes_out_as_it_was_packed_by_size() {
+    let messages: Vec<_> = (0..40).map(|n| write(n * 10)).collect();
+    let (frames, left_out) = encode(&told(), seat(1), &messages);
+    assert!(frames.len() > 4 && frames.iter().all(|bytes| bytes.len() <= 1400), "{}", frames.len());
+    let read = frames.iter().map(|bytes| decode(&told(), bytes).unwrap());
+    let read: Vec<_> =
+        read.inspect(|frame| assert_eq!(frame.from, seat(1))).flat_map(|frame| frame.messages).collect();
+    assert_eq!((read, left_out), (messages, 0));
+    // One that fits no datagram costs itself alone.
+    let large = Message::Swim(vec![0; MOST_BYTES]);
+    let (frames, left_out) = encode(&told(), seat(1), &[write(1), large, write(2)]);
+    assert_eq!((frames.len(), left_out), (1, 1));
+}
+
+#[test]
+fn another_version_or_fleet_is_told_apart() {
+    let bytes = sealed(&[write(1)]);
+    let mut other = bytes.clone();
+    other[2] = VERSION + 1;
+    assert_eq!(decode(&told(), &other), Err(Fault::Version(VERSION + 1)));
+    let more = Told { members: ["a", "b", "c", "d"].map(str::to_string).to_vec(), ..told() };
+    assert_eq!(decode(&more, &bytes), Err(Fault::OtherFleet));
+    assert_eq!(decode(&Told { keepers: 1, ..told() }, &bytes), Err(Fault::OtherFleet));
+}
+
+#[test_case(|bytes| bytes.truncate(3), Fault::Foreign; "cut in its head")]
+#[test_case(|bytes| bytes[0] = 0, Fault::Foreign; "another mark")]
+#[test_case(|bytes| { let middle = bytes.len() / 2; bytes[middle] ^= 1; }, Fault::Checksum; "a flipped bit")]
+#[test_case(|bytes| bytes.truncate(bytes.len() - 1), Fault::Checksum; "cut")]
+#[test_case(|bytes| bytes.resize(MOST_BYTES + 1, 0), Fault::TooLarge; "longer than any")]
+#[test_case(|bytes| { bytes.insert(bytes.len() - 4, 0); *bytes = resealed(bytes.clone()); }, Fault::Unreadable; "more behind it")]
+#[test_case(|bytes| { bytes[7] = 3; *bytes = resealed(bytes.clone()); }, Fault::OutOfRange; "a member that there is not")]
+fn what_is_not_whole_is_not_taken(spoil: fn(&mut Vec<u8>), fault: Fault) {
+    let mut bytes = sealed(&[write(1)]);
+    spoil(&mut bytes);
+    assert_eq!(decode(&told(), &bytes), Err(fault));
+}
+
+#[test]
+fn what_is_longer_than_it_may_be_is_not_taken() {
+    let within = sealed(&[write(1024)]);
+    assert!(decode(&told(), &within).is_ok());
+    let over = sealed(&[write(1025)]);
+    assert_eq!(decode(&told(), &over), Err(Fault::OutOfRange));
+    let lesson = |records: usize, part: u16| {
+        let kept = Kept { subject: None, promised: Ballot::first(seat(0), 1), content: Content::default() };
+        let records = (0..records).map(|n| (CallId(n as u128), kept.clone(), Duration::ZERO)).collect();
+        sealed(&[Message::Lesson(Lesson { seat: seat(2), no: 1, part, parts: 2, sure: true, records })])
+    };
+    assert!(decode(&told(), &lesson(4, 1)).is_ok());
+    assert_eq!(decode(&told(), &lesson(5, 1)), Err(Fault::OutOfRange));
+    assert_eq!(decode(&told(), &lesson(1, 2)), Err(Fault::OutOfRange));
+}
+
+/// Any bytes at all, and any change of good ones with a checksum that fits: read or refused, never a panic.
+#[test]
+fn nothing_that_comes_makes_it_panic() {
+    let mut chance = oorandom::Rand64::new(1);
+    let good = sealed(&[write(20), Message::Wait { call: CallId(3), subject: subject() }, write(3)]);
+    let mut read = 0;
+    for _ in 0..100_000 {
+        let mut bytes = good.clone();
+        for _ in 0..=chance.rand_range(0..4) {
+            let at = chance.rand_range(0..bytes.len() as u64) as usize;
+            bytes[at] = chance.rand_u64() as u8;
+        }
+        read += usize::from(decode(&told(), &resealed(bytes)).is_ok());
+        let length = chance.rand_range(0..64) as usize;
+        let noise: Vec<u8> = (0..length).map(|_| chance.rand_u64() as u8).collect();
+        assert!(decode(&told(), &noise).is_err());
+    }
+    assert!(read > 0);
+}
