Where nothing is told of fills, late ones count for all gates; told records keep their age

At fault: judge() lets a late fill off the common gates if another location's fills come in time; on a deployment that tells nothing of fills a late answer has no place, so that the cache's own or the origin's lateness went to one way alone.

--- a/crates/rockflow-fleet/src/keeper.rs
+++ b/crates/rockflow-fleet/src/keeper.rs
@@ -1,7 +1,7 @@
 //! A keeper of records: a pure machine. What it has promised binds it for as long as it lives; what it may have
 //! forgotten it does not vote on.
 
-use crate::messages::{Lesson, Message, Refusal, Step};
+use crate::messages::{Lesson, Message, Refusal, Step, Taught};
 use crate::votes::Lives;
 use crate::words::{Ballot, CallId, Content, Kept, Life, MemberId, Seat, Subject, Told};
 use std::collections::{BTreeMap, BTreeSet};
@@ -163,7 +163,7 @@
         } else if self.kept.len() >= self.most {
             return Message::Refuse { at, why: Refusal::Full };
         }
-        let (kept, ends) = self.hold(now, at.call, at.ballot);
+        let (kept, ends) = self.hold(now + self.keep, at.call, at.ballot);
         *ends = (now + left).max(*ends);
         kept.subject = Some(subject);
         kept.promised = at.ballot;
@@ -192,7 +192,7 @@
         } else if self.kept.len() >= self.most {
             return Message::Refuse { at, why: Refusal::Full };
         }
-        let (kept, _) = self.hold(now, at.call, at.ballot);
+        let (kept, _) = self.hold(now + self.keep, at.call, at.ballot);
         kept.promised = at.ballot;
         kept.subject = kept.subject.or(subject);
         let held = Some(kept.clone());
@@ -204,9 +204,9 @@
         Message::Refuse { at, why: Refusal::Promised(kept.promised) }
     }
 
-    fn hold(&mut self, now: Duration, call: CallId, ballot: Ballot) -> &mut (Kept, Duration) {
+    fn hold(&mut self, until: Duration, call: CallId, ballot: Ballot) -> &mut (Kept, Duration) {
         if !self.kept.contains_key(&call) {
-            self.expiry.insert((now + self.keep, call));
+            self.expiry.insert((until, call));
         }
         let fresh = Kept { subject: None, promised: ballot, content: Content::default() };
         self.kept.entry(call).or_insert((fresh, Duration::ZERO))
@@ -226,8 +226,12 @@
     pub fn teach(&mut self, now: Duration, told: &Told, learner: Seat, no: u32) -> Vec<Lesson> {
         self.heard_of(learner);
         let hers = self.kept.iter().filter(|(call, _)| told.keepers_of(**call).contains(&learner.member));
-        let record = |(call, (kept, ends)): (&CallId, &(Kept, Duration))| {
-            (*call, kept.clone(), ends.saturating_sub(now))
+        let runs_out: BTreeMap<_, _> = self.expiry.iter().map(|(at, call)| (*call, *at)).collect();
+        let record = |(call, (kept, ends)): (&CallId, &(Kept, Duration))| Taught {
+            call: *call,
+            kept: kept.clone(),
+            left: ends.saturating_sub(now),
+            keeps: runs_out.get(call).map_or(Duration::ZERO, |at| at.saturating_sub(now)),
         };
         let records: Vec<_> = hers.map(record).collect();
         let (parts, sure) = (records.len().div_ceil(MOST_TAUGHT).max(1) as u16, self.is_sure(told));
@@ -244,13 +248,13 @@
             return;
         }
         let (mut room, seat) = (true, self.seat);
-        for (call, taught, left) in lesson.records {
+        for Taught { call, kept: taught, left, keeps } in lesson.records {
             // Guards against a cap that would make a lesson forgotten in part: then its teller does not count.
             if self.kept.len() >= self.most && !self.kept.contains_key(&call) {
                 room = false;
                 continue;
             }
-            let (kept, ends) = self.hold(now, call, taught.promised);
+            let (kept, ends) = self.hold(now + keeps.min(self.keep), call, taught.promised);
             *ends = (now + left).max(*ends);
             // Guards against a vote for one of two first owners where the forgotten one was for the other: neither may
             // write on, and whoever claims sees both.
--- a/crates/rockflow-fleet/src/lib.rs
+++ b/crates/rockflow-fleet/src/lib.rs
@@ -21,7 +21,7 @@
 pub use holding::{Holding, News, Phase};
 pub use keeper::Keeper;
 pub use membership::{Change, Membership, Standing};
-pub use messages::{Lesson, Message, Refusal, Step};
+pub use messages::{Lesson, Message, Refusal, Step, Taught};
 pub use successor::{succession, Succession};
 pub use votes::Votes;
 pub use words::*;
--- a/crates/rockflow-fleet/src/messages.rs
+++ b/crates/rockflow-fleet/src/messages.rs
@@ -95,6 +95,16 @@
     pub parts: u16,
     /// The teller has itself forgotten nothing.
     pub sure: bool,
-    /// With the time that each query has left.
-    pub records: Vec<(CallId, Kept, Duration)>,
+    pub records: Vec<Taught>,
+}
+
+/// A record, as one keeper tells it to another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Taught {
+    pub call: CallId,
+    pub kept: Kept,
+    /// The time that its query has left, and that until the record runs out: to be told of one is not to hear of it
+    /// anew, else it would go from life to life for ever.
+    pub left: Duration,
+    pub keeps: Duration,
 }
--- a/crates/rockflow-link/src/frame.rs
+++ b/crates/rockflow-link/src/frame.rs
@@ -163,7 +163,7 @@
         }
         Message::Learn { seat, .. } => known(seat),
         Message::Lesson(Lesson { seat, part, parts, records, .. }) => {
-            let each = records.iter().all(|(_, record, _)| kept(record));
+            let each = records.iter().all(|taught| kept(&taught.kept));
             known(seat) && part < parts && records.len() <= MOST_TAUGHT && each
         }
         Message::Final { content: held, .. } | Message::HandOver { content: held, .. } => content(held),
--- a/crates/rockflow-link/tests/frames.rs
+++ b/crates/rockflow-link/tests/frames.rs
@@ -94,7 +94,11 @@
     assert_eq!(decode(&told(), &over), Err(Fault::OutOfRange));
     let lesson = |records: usize, part: u16| {
         let kept = Kept { subject: None, promised: Ballot::first(seat(0), 1), content: Content::default() };
-        let records = (0..records).map(|n| (CallId(n as u128), kept.clone(), Duration::ZERO)).collect();
+        let taught = |n| {
+            let (call, kept) = (CallId(n as u128), kept.clone());
+            Taught { call, kept, left: Duration::ZERO, keeps: Duration::ZERO }
+        };
+        let records = (0..records).map(taught).collect();
         sealed(&[Message::Lesson(Lesson { seat: seat(2), no: 1, part, parts: 2, sure: true, records })])
     };
     assert!(decode(&told(), &lesson(4, 1)).is_ok());
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -826,8 +826,9 @@
         let own = [host, source].into_iter().flatten().any(|id| self.sick(id));
         let weighed = late && !own || end.outcome == Outcome::Succeeded && in_time;
         if let Some(at) = from.filter(|_| weighed) {
-            // What strikes the sources of one location alone is a trouble on the way there, not behind them.
-            let common = !self.ways.iter().any(|(other, way)| *other != at && way.well(now));
+            // What strikes the sources of one location alone is a trouble on the way there, not behind them; where
+            // nothing is told of fills, lateness has no place.
+            let common = untold || !self.ways.iter().any(|(other, way)| *other != at && way.well(now));
             let told = matches!(end.outcome, Outcome::Succeeded | Outcome::TimedOut) && past;
             let over_link = told && (plan.held_at_source || end.note == Note::Filled);
             if let Some(way) = self.ways.get_mut(&at) {
