--- a/crates/rockflow-fleet/src/fleet.rs
+++ b/crates/rockflow-fleet/src/fleet.rs
@@ -346,9 +346,8 @@
             Message::Learn { .. } => {}
             Message::Lesson(lesson) => self.keeper.learn(now, from.member, lesson),
             Message::Wait { call, subject } => self.waits(now, from, call, subject, &mut outs),
-            Message::Final { call, content } => {
-                let asked = self.hand.get(&call).is_some_and(|held| held.client);
-                if let Some((_, answer)) = content.answer.filter(|_| asked) {
+            Message::Final { call, answer } => {
+                if self.hand.get(&call).is_some_and(|held| held.client) {
                     self.finish(now, call, answer, &mut outs);
                 }
             }
@@ -494,7 +493,9 @@
             _ => None,
         });
         let mine = self.hand.get(&call).is_some_and(|held| !matches!(held.holding.phase(), Phase::Lost(_)));
-        let Some((subject, above)) = kept.max_by_ballot(beaten) else { return };
+        let Some((subject, above)) = kept.into_iter().chain(beaten).max_by_key(|(_, ballot)| *ballot) else {
+            return;
+        };
         // One of ours that is not in hand any more was let go.
         let theirs = self.at_work(above);
         if mine || self.stopping || theirs {
@@ -690,9 +691,7 @@
         answer: &Answer,
         outs: &mut Vec<Out>,
     ) {
-        let content =
-            Content { begun: Vec::new(), answer: Some((Ballot::first(self.seat, 0), answer.clone())) };
-        self.send(now, to, Message::Final { call, content }, outs);
+        self.send(now, to, Message::Final { call, answer: answer.clone() }, outs);
     }
 
     fn waits(&mut self, now: Duration, from: Seat, call: CallId, subject: Subject, outs: &mut Vec<Out>) {
@@ -736,17 +735,3 @@
         self.claim(now, call, subject, above, now + left, outs);
     }
 }
-
-/// The later of two by ballot.
-trait Later {
-    fn max_by_ballot(self, other: Self) -> Self;
-}
-
-impl Later for Option<(Subject, Ballot)> {
-    fn max_by_ballot(self, other: Self) -> Self {
-        match (self, other) {
-            (Some(one), Some(two)) => Some(if one.1 < two.1 { two } else { one }),
-            (one, two) => one.or(two),
-        }
-    }
-}
--- a/crates/rockflow-fleet/src/membership.rs
+++ b/crates/rockflow-fleet/src/membership.rs
@@ -7,7 +7,7 @@
 use foca::{AccumulatingRuntime, Foca, Identity, NoCustomBroadcast, OwnedNotification, PostcardCodec, Timer};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::convert::Infallible;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -118,11 +118,8 @@
     heard: BTreeMap<MemberId, Duration>,
     view: u64,
     health: u32,
-    /// When this machine was last called, and by when it should have been.
-    called: Duration,
+    /// By when this machine should be called again.
     expected: Option<Duration>,
-    /// Time for which this process was not there, in all.
-    absent: Duration,
     left: bool,
     /// While nobody else is there, all told members are called on again then.
     call_again: Duration,
@@ -145,9 +142,7 @@
             heard: BTreeMap::new(),
             view: 1,
             health: 0,
-            called: now,
             expected: None,
-            absent: Duration::ZERO,
             left: false,
             call_again: now,
         }
@@ -273,12 +268,10 @@
         let late = self.expected.map_or(Duration::ZERO, |by| now.saturating_sub(by));
         let trips = self.told.round_trip.mul_f64(PROBE_TRIPS);
         if late > trips {
-            self.absent += late;
             let put_off = |Reverse((at, no)): Reverse<(Duration, u64)>| Reverse((at + late, no));
             self.timers = std::mem::take(&mut self.timers).into_iter().map(put_off).collect();
             self.worsen();
         }
-        self.called = now;
         self.expected = None;
     }
 
@@ -375,8 +368,3 @@
         periodic_gossip: every(GOSSIP_PERIODS),
     }
 }
-
-/// Lives that are present, for tests and pictures.
-pub fn lives(membership: &Membership) -> BTreeSet<Seat> {
-    membership.present().collect()
-}
--- a/crates/rockflow-fleet/src/messages.rs
+++ b/crates/rockflow-fleet/src/messages.rs
@@ -1,7 +1,7 @@
 //! What members say to each other. Values only; how they travel is the link's matter.
 
 use crate::votes::Lives;
-use crate::words::{Ballot, CallId, Content, Kept, Life, Seat, Subject};
+use crate::words::{Answer, Ballot, CallId, Content, Kept, Life, Seat, Subject};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -55,7 +55,7 @@
     /// The final answer of a call, to who waits for it.
     Final {
         call: CallId,
-        content: Content,
+        answer: Answer,
     },
     /// To a keeper: nobody will ask for this call any more.
     Drop {
--- a/crates/rockflow-link/src/frame.rs
+++ b/crates/rockflow-link/src/frame.rs
@@ -2,7 +2,7 @@
 //! What comes from others is judged here, strictly and once.
 
 use rockflow_fleet::keeper::MOST_TAUGHT;
-use rockflow_fleet::{Content, Kept, Lesson, Message, Refusal, Seat, Told};
+use rockflow_fleet::{Answer, Content, Kept, Lesson, Message, Refusal, Seat, Told};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -134,14 +134,15 @@
 }
 
 fn fits(told: &Told, message: &Message, known: &impl Fn(&Seat) -> bool) -> bool {
+    let answer = |answer: &Answer| {
+        let body = answer.body.as_ref().is_none_or(|body| body.len() <= told.most_body);
+        body && answer.tag.as_ref().is_none_or(|tag| tag.len() <= MOST_TAG)
+    };
     let content = |content: &Content| {
-        let answer = content.answer.as_ref().is_none_or(|(ballot, answer)| {
-            known(&ballot.seat)
-                && answer.body.as_ref().is_none_or(|body| body.len() <= told.most_body)
-                && answer.tag.as_ref().is_none_or(|tag| tag.len() <= MOST_TAG)
-        });
+        let ended =
+            content.answer.as_ref().is_none_or(|(ballot, ended)| known(&ballot.seat) && answer(ended));
         let begun = content.begun.iter().all(|begun| known(&begun.ballot.seat));
-        answer && begun && content.begun.len() <= MOST_BEGUN
+        ended && begun && content.begun.len() <= MOST_BEGUN
     };
     let kept = |kept: &Kept| known(&kept.promised.seat) && content(&kept.content);
     match message {
@@ -166,7 +167,8 @@
             let each = records.iter().all(|taught| kept(&taught.kept));
             known(seat) && part < parts && records.len() <= MOST_TAUGHT && each
         }
-        Message::Final { content: held, .. } | Message::HandOver { content: held, .. } => content(held),
+        Message::Final { answer: held, .. } => answer(held),
+        Message::HandOver { content: held, .. } => content(held),
         Message::Drop { ballot, .. } => known(&ballot.seat),
         Message::Wait { .. } | Message::Outlived { .. } => true,
     }
