A keeper that began with nothing is sure call by call, not of all or nothing

Seen: of clients that came again under their id after their dispatcher was killed, half were told at once that no majority could be had (5 members, 3 keepers). Checked by noting each reason: keepers that had restarted refused. At fault in part: a keeper took a lesson only from one that was sure of everything, so that a member stopped for seconds kept all restarted ones unsure of calls which that one does not keep.

A lesson now says who, sure of everything, had taught its teller; the learner takes it for the calls of which the teller was sure.

The checks of all courses of events, the walks, and the real processes pass.

--- a/crates/rockflow-fleet/src/keeper.rs
+++ b/crates/rockflow-fleet/src/keeper.rs
@@ -15,8 +15,13 @@
 enum Memory {
     /// Nothing was ever kept before this life, or all of it has run out.
     Whole,
-    /// Begun with nothing; members from whom it has been regained, and parts of lessons still coming.
-    Regained { from: BTreeSet<MemberId>, parts: BTreeMap<MemberId, (u32, BTreeSet<u16>)>, until: Duration },
+    /// Begun with nothing; members from whom it has been regained, and parts of lessons still coming. With each who
+    /// had taught it when it was not sure of everything itself; none: it was.
+    Regained {
+        from: BTreeMap<MemberId, Option<BTreeSet<MemberId>>>,
+        parts: BTreeMap<MemberId, (u32, BTreeSet<u16>)>,
+        until: Duration,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -45,7 +50,7 @@
             majority: told.majority(),
             most: told.most_kept,
             keep: told.keep,
-            memory: Memory::Regained { from: BTreeSet::new(), parts: BTreeMap::new(), until },
+            memory: Memory::Regained { from: BTreeMap::new(), parts: BTreeMap::new(), until },
             kept: BTreeMap::new(),
             expiry: BTreeSet::new(),
             lives: BTreeMap::new(),
@@ -108,28 +113,28 @@
         [memory, first].into_iter().flatten().min()
     }
 
-    /// Members whose lessons are still wanted.
-    pub fn unlearned<'a>(&self, told: &'a Told) -> impl Iterator<Item = MemberId> + 'a {
-        let from = match &self.memory {
-            Memory::Whole => None,
-            Memory::Regained { from, .. } => Some(from.clone()),
-        };
+    /// Members whose lessons are still wanted: those that were sure of everything have no more to say.
+    pub fn unlearned<'a>(&'a self, told: &'a Told) -> impl Iterator<Item = MemberId> + 'a {
         let me = self.seat.member;
-        told.ids().filter(move |id| *id != me && from.as_ref().is_some_and(|from| !from.contains(id)))
+        let wanted = move |id: &MemberId| match &self.memory {
+            Memory::Whole => false,
+            Memory::Regained { from, .. } => from.get(id) != Some(&None),
+        };
+        told.ids().filter(move |id| *id != me && wanted(id))
     }
 
     /// Guards against a vote on what may have been forgotten: of the call's other keepers so many must have taught
-    /// this life what they hold that any majority with the former life in it is met.
+    /// this life what they hold, sure of this call themselves, that any majority with the former life in it is met.
     fn unsure(&self, keepers: &[MemberId]) -> bool {
-        match &self.memory {
-            Memory::Whole => false,
-            Memory::Regained { from, .. } => !self.met(keepers, from),
-        }
-    }
-
-    fn met(&self, keepers: &[MemberId], from: &BTreeSet<MemberId>) -> bool {
-        let taught = keepers.iter().filter(|id| **id != self.seat.member && from.contains(id)).count();
-        taught > self.width - self.majority
+        let Memory::Regained { from, .. } = &self.memory else { return false };
+        let enough = |count: usize| count > self.width - self.majority;
+        let others = |of: MemberId| keepers.iter().filter(move |id| **id != of);
+        let sure = |teller: &MemberId| match from.get(teller) {
+            None => false,
+            Some(None) => true,
+            Some(Some(by)) => enough(others(*teller).filter(|id| by.contains(id)).count()),
+        };
+        !enough(others(self.seat.member).filter(|id| sure(id)).count())
     }
 
     /// Lives of a call's other keepers, to go with a vote.
@@ -234,15 +239,15 @@
             keeps: runs_out.get(call).map_or(Duration::ZERO, |at| at.saturating_sub(now)),
         };
         let records: Vec<_> = hers.map(record).collect();
-        let (parts, sure) = (records.len().div_ceil(MOST_TAUGHT).max(1) as u16, self.is_sure(told));
+        let (parts, by) = (records.len().div_ceil(MOST_TAUGHT).max(1) as u16, self.taught_by(told));
         let lesson = |part: u16| {
             let of = records.iter().skip(usize::from(part) * MOST_TAUGHT).take(MOST_TAUGHT);
-            Lesson { seat: learner, no, part, parts, sure, records: of.cloned().collect() }
+            Lesson { seat: learner, no, part, parts, by: by.clone(), records: of.cloned().collect() }
         };
         (0..parts).map(lesson).collect()
     }
 
-    /// Takes a lesson in. Its teller counts once all parts of one are here, and if the teller was sure of it all.
+    /// Takes a lesson in. Its teller counts once all parts of one are here, for the calls of which it was sure.
     pub fn learn(&mut self, now: Duration, teller: MemberId, lesson: Lesson) {
         if lesson.seat != self.seat || self.memory == Memory::Whole {
             return;
@@ -269,26 +274,28 @@
             if *no != lesson.no {
                 (*no, *have) = (lesson.no, BTreeSet::new());
             }
-            if room && lesson.sure {
+            if room {
                 have.insert(lesson.part);
             }
             if have.len() == usize::from(lesson.parts) {
-                from.insert(teller);
                 parts.remove(&teller);
+                let by = lesson.by.map(|by| by.into_iter().collect());
+                from.entry(teller).and_modify(|had| *had = had.take().and(by.clone())).or_insert(by);
             }
         }
     }
 
     /// Whether all is known that this life may be asked for.
     pub fn is_sure(&self, told: &Told) -> bool {
-        let all: Vec<_> = told.ids().filter(|id| *id != self.seat.member).collect();
-        match &self.memory {
-            Memory::Whole => true,
-            // The worst set of keepers has all those in it from whom nothing came.
-            Memory::Regained { from, .. } => {
-                let missing = all.iter().filter(|id| !from.contains(id)).count();
-                missing + 2 <= self.majority
-            }
-        }
+        self.taught_by(told).is_none()
+    }
+
+    /// Who, sure of everything, has taught this life; none: it is sure of everything too.
+    fn taught_by(&self, told: &Told) -> Option<Vec<MemberId>> {
+        let Memory::Regained { from, .. } = &self.memory else { return None };
+        let by: Vec<_> = from.iter().filter(|(_, by)| by.is_none()).map(|(id, _)| *id).collect();
+        // The worst set of keepers has all those in it from whom nothing came.
+        let missing = told.members.len() - 1 - by.len();
+        (missing + 2 > self.majority).then_some(by)
     }
 }
--- a/crates/rockflow-fleet/src/messages.rs
+++ b/crates/rockflow-fleet/src/messages.rs
@@ -1,7 +1,7 @@
 //! What members say to each other. Values only; how they travel is the link's matter.
 
 use crate::votes::Lives;
-use crate::words::{Answer, Ballot, CallId, Content, Kept, Life, Seat, Subject};
+use crate::words::{Answer, Ballot, CallId, Content, Kept, Life, MemberId, Seat, Subject};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -93,8 +93,8 @@
     pub no: u32,
     pub part: u16,
     pub parts: u16,
-    /// The teller has itself forgotten nothing.
-    pub sure: bool,
+    /// Who, sure of everything, has taught the teller; none: it is sure of everything itself.
+    pub by: Option<Vec<MemberId>>,
     pub records: Vec<Taught>,
 }
 
--- a/crates/rockflow-link/src/frame.rs
+++ b/crates/rockflow-link/src/frame.rs
@@ -134,6 +134,7 @@
 }
 
 fn fits(told: &Told, message: &Message, known: &impl Fn(&Seat) -> bool) -> bool {
+    let members = told.members.len();
     let answer = |answer: &Answer| {
         let body = answer.body.as_ref().is_none_or(|body| body.len() <= told.most_body);
         body && answer.tag.as_ref().is_none_or(|tag| tag.len() <= MOST_TAG)
@@ -163,9 +164,10 @@
             known(&at.ballot.seat) && promised
         }
         Message::Learn { seat, .. } => known(seat),
-        Message::Lesson(Lesson { seat, part, parts, records, .. }) => {
+        Message::Lesson(Lesson { seat, part, parts, by, records, .. }) => {
+            let by = by.as_ref().is_none_or(|by| by.len() < members);
             let each = records.iter().all(|taught| kept(&taught.kept));
-            known(seat) && part < parts && records.len() <= MOST_TAUGHT && each
+            known(seat) && by && part < parts && records.len() <= MOST_TAUGHT && each
         }
         Message::Final { answer: held, .. } => answer(held),
         Message::HandOver { content: held, .. } => content(held),
--- a/crates/rockflow-link/tests/frames.rs
+++ b/crates/rockflow-link/tests/frames.rs
@@ -99,7 +99,7 @@
             Taught { call, kept, left: Duration::ZERO, keeps: Duration::ZERO }
         };
         let records = (0..records).map(taught).collect();
-        sealed(&[Message::Lesson(Lesson { seat: seat(2), no: 1, part, parts: 2, sure: true, records })])
+        sealed(&[Message::Lesson(Lesson { seat: seat(2), no: 1, part, parts: 2, by: None, records })])
     };
     assert!(decode(&told(), &lesson(4, 1)).is_ok());
     assert_eq!(decode(&told(), &lesson(5, 1)), Err(Fault::OutOfRange));
