A call of a lost owner is not claimed after its query's end

Seen: one of 43,000 schedules of three members ended with a record that still stood. At fault: claim_lost() claimed also when the query's own time was up and nobody waited; keepers that had dropped the record began it anew for the claim. Nothing ran or was answered by it.

Now such a call is left to run out.

--- a/crates/rockflow-fleet/src/fleet.rs
+++ b/crates/rockflow-fleet/src/fleet.rs
@@ -505,6 +505,11 @@
             return self.at(now + self.trips(CLAIM_TRIPS), Due::Claim(call));
         }
         let ends = self.keeper.ends(call).unwrap_or(now);
+        // Guards against a claim that comes when nothing can be done any more, and makes keepers that had dropped the
+        // record begin it anew.
+        if ends <= now && beaten.is_none() {
+            return;
+        }
         self.claim(now, call, subject, above, ends, outs);
     }
 
