--- a/crates/rockflow-benchlink/src/lib.rs
+++ b/crates/rockflow-benchlink/src/lib.rs
@@ -273,7 +273,8 @@
             let (outcome, took, over) = (outcome(r)?, r.micros()?, r.u8()? != 0);
             let (note, fill_wait) = (note(r)?, r.micros()?);
             let _report = r.floats()?;
-            Event::LegEnded(LegEnd { query, leg, host, outcome, took, over, note, fill_wait })
+            // What the simulator is handed is out.
+            Event::LegEnded(LegEnd { query, leg, host, outcome, took, over, note, fill_wait, begun: true })
         }
         265 => {
             let (query, _host, _took) = (QueryId(r.u64()?), r.host()?, r.micros()?);
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -3,7 +3,7 @@
 use crate::line;
 use crate::mailbox::{Mailbox, Wake};
 use crate::rest;
-use crate::wires::{Line, Wires};
+use crate::wires::{Line, Queue, Wires};
 use crate::words::{Fallen, LineWord, Order, Wanted, Word};
 use may::coroutine;
 use rockflow::interface::{Outcome, QueryId};
@@ -34,6 +34,7 @@
     pub fn run(self) {
         self.mail.wake_by(Wake::Park(coroutine::current()));
         let (mut lines, mut retired): (Vec<Arc<Line>>, bool) = (Vec::new(), false);
+        let queue = Arc::new(Queue::default());
         let (mut given_up, mut kept_back) = (BTreeMap::<QueryId, Duration>::new(), BTreeMap::new());
         while !retired || !lines.is_empty() {
             let Some(order) = self.mail.take() else {
@@ -55,14 +56,17 @@
                         });
                         continue;
                     }
-                    self.want(wanted, &mut lines);
+                    self.want(wanted, &mut lines, &queue);
                 }
                 Order::Release(key) => {
                     if let Some(wanted) = kept_back.remove(&key) {
-                        self.want(wanted, &mut lines);
+                        self.want(wanted, &mut lines, &queue);
                     }
                 }
-                Order::Probe { tag, load } => match self.line_for("", &mut lines) {
+                Order::Probe { tag, load } => match self
+                    .line_for("", &lines)
+                    .or_else(|| self.open(&mut lines, &queue))
+                {
                     Some(on) => on.send(LineWord::Probe { tag, load }),
                     None => self.wires.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected }),
                 },
@@ -71,44 +75,79 @@
                     given_up.retain(|_, at| now < *at + CROSSING);
                     given_up.insert(key.0, now);
                     kept_back.remove(&key);
+                    queue.remove(key);
                     lines.iter().for_each(|line| line.send(LineWord::NeverMind { key, unheard }));
                 }
                 Order::CloseIdle => lines.iter().for_each(|line| line.send(LineWord::CloseIdle)),
                 Order::Retire => {
                     retired = true;
+                    // None of these goes out any more.
+                    let left = std::iter::from_fn(|| queue.pop())
+                        .chain(std::mem::take(&mut kept_back).into_values());
+                    left.for_each(|wanted| self.fell(&wanted, Outcome::NotSent));
                     lines.iter().for_each(|line| line.send(LineWord::Retire));
                 }
-                Order::LineOver(fallen) => {
-                    fallen.into_iter().for_each(|fallen| self.fall(fallen, &mut lines))
+                Order::LineOver { mut fallen, again, failed } => {
+                    again.into_iter().for_each(|wanted| self.want(wanted, &mut lines, &queue));
+                    if let Some(unsent) = fallen.last_mut().filter(|_| failed) {
+                        // The one that has waited longest for a connection did so for this one.
+                        let connecting = lines.iter().filter(|line| line.is_connecting()).count();
+                        let over = queue.len().saturating_sub(connecting).min(1);
+                        unsent.legs.extend((0..over).filter_map(|_| queue.pop()).map(|wanted| wanted.key));
+                    }
+                    fallen.into_iter().for_each(|fallen| self.fall(fallen, &mut lines, &queue));
+                    self.serve_queue(&mut lines, &queue);
                 }
             }
         }
     }
 
-    fn want(&self, wanted: Wanted, lines: &mut Vec<Arc<Line>>) {
+    fn fell(&self, wanted: &Wanted, outcome: Outcome) {
+        self.wires.module.send(Word::Fell { key: wanted.key, outcome });
+    }
+
+    fn want(&self, wanted: Wanted, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) {
+        // No connection is opened for what may not go out on it any more.
+        if !wanted.pass.holds(self.wires.clock.now()) {
+            return self.fell(&wanted, Outcome::NotSent);
+        }
         match self.line_for(&wanted.id, lines) {
-            Some(on) => on.send(LineWord::Want(wanted)),
+            Some(on) => on.want(wanted, &self.wires),
             None => {
-                self.wires.module.send(Word::Fell { key: wanted.key, outcome: Outcome::NotConnected });
+                queue.push(wanted);
+                self.serve_queue(lines, queue);
             }
         }
     }
 
+    /// Opens as many connections as wants wait; with none to be had, none waits in vain.
+    fn serve_queue(&self, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) {
+        let connecting = |lines: &[Arc<Line>]| lines.iter().filter(|line| line.is_connecting()).count();
+        while connecting(lines) < queue.len() && self.open(lines, queue).is_some() {}
+        if lines.iter().all(|line| line.is_over()) {
+            std::iter::from_fn(|| queue.pop()).for_each(|wanted| self.fell(&wanted, Outcome::NotConnected));
+        }
+    }
+
     /// Tells of legs that ended with their line. Guards against taking a reset of one connection for the death
     /// of the process, which resets all and takes no new one for a while: a connection that is up by then, old
     /// or new, shows that the host lives.
-    fn fall(&self, fallen: Fallen, lines: &mut Vec<Arc<Line>>) {
-        let Fallen { legs, if_gone, if_it_lives } = fallen;
+    fn fall(&self, fallen: Fallen, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) {
+        let Fallen { legs, unless_heard, if_gone, if_it_lives } = fallen;
         if legs.is_empty() {
             return;
         }
         let module = self.wires.module.clone();
         let tell = move |outcome| legs.into_iter().for_each(|key| module.send(Word::Fell { key, outcome }));
+        if let Some(then) = unless_heard {
+            let lives = lines.iter().any(|line| line.heard_since(then));
+            return tell(if lives { if_it_lives } else { if_gone });
+        }
         if if_it_lives == if_gone {
             return tell(if_gone);
         }
         if !lines.iter().any(|line| line.is_up()) {
-            self.open(lines);
+            self.open(lines, queue);
         }
         let others = lines.to_vec();
         may::go!(move || {
@@ -124,24 +163,24 @@
         });
     }
 
-    /// The line for a leg. What a peer spoils or leaves unanswered takes its whole connection with it, so a leg
+    /// The line for a leg, if one is free. What a peer spoils or leaves unanswered takes its whole connection with it, so a leg
     /// gets one to itself as long as there are plenty; the one used last, so that what is too many ages.
-    fn line_for(&self, id: &str, lines: &mut Vec<Arc<Line>>) -> Option<Arc<Line>> {
+    fn line_for(&self, id: &str, lines: &[Arc<Line>]) -> Option<Arc<Line>> {
         let fits = lines.iter().filter(|line| line.takes(id, &self.wires));
         let best = fits.min_by_key(|line| (line.out(), Reverse(line.used()))).cloned();
         let many = self.wires.lines().len() as f64 >= OWN_PART * self.wires.most_lines as f64;
-        let best = best.filter(|line| line.out() == 0 || many);
-        best.or_else(|| self.open(lines))
+        best.filter(|line| line.out() == 0 || many)
     }
 
     /// Another line; none past the cap. Those that will take nothing more close when their legs are over.
-    fn open(&self, lines: &mut Vec<Arc<Line>>) -> Option<Arc<Line>> {
+    fn open(&self, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) -> Option<Arc<Line>> {
         if self.wires.lines().len() >= self.wires.most_lines {
             debug!(host = self.name, cap = self.wires.most_lines, "no connection left for hosts");
             return None;
         }
         lines.iter().filter(|line| line.is_spent(&self.wires)).for_each(|line| line.send(LineWord::Retire));
-        let line = line::start(self.name.clone(), self.address, self.wires.clone(), self.mail.clone());
+        let (wires, mail) = (self.wires.clone(), self.mail.clone());
+        let line = line::start(self.name.clone(), self.address, wires, mail, queue.clone());
         lines.push(line.clone());
         Some(line)
     }
--- a/crates/rockflow-dispatcher/src/lib.rs
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod listener;
 pub mod mailbox;
 pub mod module;
+pub mod pass;
 mod rest;
 pub mod service;
 pub mod told;
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,13 +1,13 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
 use crate::mailbox::{Mailbox, Wake};
-use crate::wires::{lock, Line, Wires};
+use crate::wires::{lock, Line, Queue, Wires};
 use crate::words::{Fallen, LegKey, LineWord, Order, Wanted, Word};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::interface::Outcome;
 use rockflow_protocol::{hostline, Buffer};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -20,7 +20,13 @@
 const MOST_UNANSWERED: usize = 8;
 
 /// Starts the actor of a new connection, which tells the host's mailbox of its end.
-pub fn start(name: String, address: SocketAddr, wires: Arc<Wires>, host: Arc<Mailbox<Order>>) -> Arc<Line> {
+pub fn start(
+    name: String,
+    address: SocketAddr,
+    wires: Arc<Wires>,
+    host: Arc<Mailbox<Order>>,
+    queue: Arc<Queue>,
+) -> Arc<Line> {
     let line = Arc::new(Line {
         mail: Mailbox::new(),
         up: AtomicBool::new(false),
@@ -29,24 +35,37 @@
         spent: AtomicBool::new(false),
         out: AtomicUsize::new(0),
         used: Mutex::new(wires.clock.now()),
-        unanswered: Mutex::new(BTreeSet::new()),
+        heard: Mutex::new(Duration::ZERO),
+        carried: Mutex::new(BTreeMap::new()),
     });
     let number = wires.next_line.fetch_add(1, Ordering::Relaxed);
     wires.lines().insert(number, line.clone());
     let shared = line.clone();
     may::go!(move || {
-        let fallen = run(&name, address, &wires, &shared);
+        let (fallen, again) = run(&name, address, &wires, &shared, &queue);
         wires.lines().remove(&number);
-        host.send(Order::LineOver(fallen));
+        host.send(Order::LineOver { fallen, again, failed: !shared.up.load(Ordering::Relaxed) });
     });
     line
 }
 
-/// Returns the legs that ended with the line: those that may have run, and those that never did.
-fn run(name: &str, address: SocketAddr, wires: &Wires, shared: &Line) -> Vec<Fallen> {
-    let mut fallen = Vec::new();
-    let mut unsent =
-        Fallen { legs: Vec::new(), if_gone: Outcome::NotConnected, if_it_lives: Outcome::NotSent };
+/// Returns the legs that ended with the line, those that may have run and those that never did, and such of the latter
+/// as may go on another: this one had brought answers, and its host closed it just then.
+fn run(
+    name: &str,
+    address: SocketAddr,
+    wires: &Wires,
+    shared: &Line,
+    queue: &Queue,
+) -> (Vec<Fallen>, Vec<Wanted>) {
+    let (mut fallen, mut unbegun) = (Vec::new(), Vec::new());
+    let mut unsent = Fallen {
+        legs: Vec::new(),
+        unless_heard: None,
+        if_gone: Outcome::NotConnected,
+        if_it_lives: Outcome::NotSent,
+    };
+    let began = wires.clock.now();
     match TcpStream::connect_timeout(&address, wires.connect_limit) {
         Ok(stream) => {
             debug!(host = name, "connected");
@@ -57,8 +76,10 @@
                 name,
                 wires,
                 shared,
+                queue,
                 stream,
                 out: Vec::new(),
+                waiting: VecDeque::new(),
                 legs: BTreeMap::new(),
                 probes: BTreeSet::new(),
                 buffer: Buffer::new(hostline::MOST_ANSWER),
@@ -75,9 +96,11 @@
             wires.held.fetch_sub(wire.held, Ordering::Relaxed);
             fallen.push(Fallen {
                 legs: wire.legs.into_values().map(|leg| leg.key).collect(),
+                unless_heard: None,
                 if_gone: wire.outcome,
                 if_it_lives: Outcome::Garbled,
             });
+            unbegun.extend(wire.waiting);
             for tag in wire.probes {
                 wires.module.send(Word::ProbeFell { tag, outcome: Outcome::Broken });
             }
@@ -85,23 +108,24 @@
         Err(what) => {
             info!(host = name, %what, "not connected");
             shared.over.store(true, Ordering::Relaxed);
-            // Guards against taking for alive a machine that vanished: it lets its old connections stand.
-            if what.kind() == ErrorKind::TimedOut {
-                unsent.if_it_lives = unsent.if_gone;
-            }
+            // Guards against taking for alive a machine that vanished: it lets its old connections stand. And
+            // against taking one connection that comes up late for the end of a host that answers on others.
+            unsent.unless_heard = (what.kind() == ErrorKind::TimedOut).then_some(began);
         }
     }
     while let Some(word) = shared.mail.take() {
         match word {
-            LineWord::Want(wanted) => unsent.legs.push(wanted.key),
+            LineWord::Want(wanted) => unbegun.push(wanted),
             LineWord::Probe { tag, .. } => {
                 wires.module.send(Word::ProbeFell { tag, outcome: unsent.if_gone });
             }
             _ => {}
         }
     }
+    let again = if *lock(&shared.heard) > Duration::ZERO { std::mem::take(&mut unbegun) } else { Vec::new() };
+    unsent.legs.extend(unbegun.into_iter().map(|wanted| wanted.key));
     fallen.push(unsent);
-    fallen
+    (fallen, again)
 }
 
 /// A leg that is out: since when, and whether it named the client's copy.
@@ -115,8 +139,11 @@
     name: &'a str,
     wires: &'a Wires,
     shared: &'a Line,
+    queue: &'a Queue,
     stream: TcpStream,
+    /// What is on its way out, and the legs that follow it.
     out: Vec<u8>,
+    waiting: VecDeque<Wanted>,
     /// Legs out by their id on the line.
     legs: BTreeMap<String, LegOut>,
     probes: BTreeSet<u64>,
@@ -135,9 +162,10 @@
     fn serve(&mut self) {
         loop {
             let mut moved = self.read_mail();
+            // Read first: a host that has closed is not written to, so that what waits goes out on another line.
             let went_on = match self.standstill() {
                 Some(what) => Err(what.to_string()),
-                None => self.write().and_then(|wrote| Ok(wrote | self.read()?)),
+                None => self.read().and_then(|read| Ok(read | self.pull() | self.write()?)),
             };
             match went_on {
                 Ok(more) => moved |= more,
@@ -148,8 +176,9 @@
                     return warn!(host = self.name, what, legs = self.legs.len(), "connection broke")
                 }
             }
-            self.shared.out.store(self.legs.len() + self.shared.mail.len(), Ordering::Relaxed);
-            if self.retired && self.legs.is_empty() {
+            let out = self.legs.len() + self.waiting.len() + self.shared.mail.len();
+            self.shared.out.store(out, Ordering::Relaxed);
+            if self.retired && self.legs.is_empty() && self.waiting.is_empty() {
                 return debug!(host = self.name, "connection closed");
             }
             if !moved {
@@ -158,22 +187,23 @@
         }
     }
 
+    /// Takes what has waited longest for a connection, once nothing else is out or under way on this one.
+    fn pull(&mut self) -> bool {
+        let free = self.legs.is_empty() && self.waiting.is_empty() && !self.shared.is_midway();
+        if !free || self.retired || self.queue.is_empty() || self.shared.is_spent(self.wires) {
+            return false;
+        }
+        let Some(wanted) = self.queue.pull(self.shared) else { return false };
+        self.shared.carry(&wanted.id, self.wires);
+        self.carry(LineWord::Want(wanted));
+        true
+    }
+
     fn read_mail(&mut self) -> bool {
-        let words: Vec<_> = std::iter::from_fn(|| self.shared.mail.take()).collect();
-        let called_off = |word: &LineWord| match word {
-            LineWord::NeverMind { key, .. } => Some(*key),
-            _ => None,
-        };
-        let called_off: BTreeSet<_> = words.iter().filter_map(called_off).collect();
-        let some = !words.is_empty();
-        for word in words {
-            match word {
-                // Guards against wants that go out after their time, when the connection came up late.
-                LineWord::Want(wanted) if called_off.contains(&wanted.key) => {
-                    lock(&self.shared.unanswered).remove(&wanted.id);
-                }
-                word => self.carry(word),
-            }
+        let mut some = false;
+        while let Some(word) = self.shared.mail.take() {
+            some = true;
+            self.carry(word);
         }
         some
     }
@@ -181,17 +211,21 @@
     fn carry(&mut self, word: LineWord) {
         let now = self.wires.clock.now();
         match word {
-            LineWord::Want(Wanted { key, id, line, seen }) => {
-                self.out.extend_from_slice(&line);
-                self.legs.insert(id, LegOut { key, sent: now, seen });
+            LineWord::Want(wanted) => {
+                self.waiting.push_back(wanted);
                 *lock(&self.shared.used) = now;
             }
+            // What was given up before it went out never does.
+            LineWord::NeverMind { key, .. } if self.waiting.iter().any(|wanted| wanted.key == key) => {
+                self.waiting.retain(|wanted| wanted.key != key);
+            }
             LineWord::NeverMind { key, unheard } => {
                 let found = self.legs.iter().find(|(_, leg)| leg.key == key);
                 let Some((id, sent)) = found.map(|(id, leg)| (id.clone(), leg.sent)) else { return };
                 self.legs.remove(&id);
                 self.out.extend_from_slice(&hostline::never_mind(&id));
-                let many = lock(&self.shared.unanswered).len() >= MOST_UNANSWERED * self.wires.most_streams;
+                let unanswered = lock(&self.shared.carried).values().filter(|id| !id.answered).count();
+                let many = unanswered >= MOST_UNANSWERED * self.wires.most_streams;
                 // Guards against a machine that vanished or was cut off: the connection would stay open and
                 // silent, and after a cut it recovers late. A new one shows at once whether anyone is there. And
                 // against one on which this leg alone is never answered: it is of no further use then.
@@ -213,23 +247,59 @@
     }
 
     fn write(&mut self) -> Result<bool, String> {
-        let mut done = 0;
-        let result = loop {
-            if done == self.out.len() {
-                break Ok(done > 0);
+        let mut wrote = false;
+        loop {
+            while !self.out.is_empty() {
+                match self.stream.inner().write(&self.out) {
+                    Ok(n) => {
+                        self.out.drain(..n);
+                        wrote = true;
+                    }
+                    Err(what) if what.kind() == ErrorKind::WouldBlock => return self.within_cap(wrote),
+                    Err(what) if what.kind() == ErrorKind::Interrupted => {}
+                    Err(what) => return self.broken(what.to_string()),
+                }
             }
-            match self.stream.inner().write(&self.out[done..]) {
-                Ok(n) => done += n,
-                Err(what) if what.kind() == ErrorKind::WouldBlock => break Ok(done > 0),
-                Err(what) if what.kind() == ErrorKind::Interrupted => {}
-                Err(what) => break self.broken(what.to_string()).map(|_| false),
+            let Some(wanted) = self.waiting.pop_front() else { return Ok(wrote) };
+            if !self.begin(wanted)? {
+                return self.within_cap(wrote);
             }
-        };
-        self.out.drain(..done);
-        if self.out.len() > self.wires.line_out {
+            wrote = true;
+        }
+    }
+
+    /// Writes the first bytes of a leg, if it still may begin; false: the host takes nothing now.
+    fn begin(&mut self, wanted: Wanted) -> Result<bool, String> {
+        let now = self.wires.clock.now();
+        if !wanted.pass.begin(now) {
+            self.wires.module.send(Word::Fell { key: wanted.key, outcome: Outcome::NotSent });
+            return Ok(true);
+        }
+        match self.stream.inner().write(&wanted.line) {
+            Ok(n) => {
+                self.out.extend_from_slice(&wanted.line[n..]);
+                let Wanted { key, id, seen, .. } = wanted;
+                self.legs.insert(id, LegOut { key, sent: now, seen });
+                Ok(true)
+            }
+            Err(what) => {
+                wanted.pass.put_back();
+                self.waiting.push_front(wanted);
+                match what.kind() {
+                    ErrorKind::WouldBlock => Ok(false),
+                    ErrorKind::Interrupted => Ok(true),
+                    _ => self.broken(what.to_string()),
+                }
+            }
+        }
+    }
+
+    fn within_cap(&self, wrote: bool) -> Result<bool, String> {
+        let held = self.out.len() + self.waiting.iter().map(|wanted| wanted.line.len()).sum::<usize>();
+        if held > self.wires.line_out {
             return Err("a host that reads nothing".to_string());
         }
-        result
+        Ok(wrote)
     }
 
     /// Guards against an answer that stops short while its connection stays open, and against a line that comes
@@ -261,6 +331,7 @@
             Err(what) => return self.broken(what.to_string()),
         }
         self.heard = self.wires.clock.now();
+        *lock(&self.shared.heard) = self.heard;
         let was = std::mem::replace(&mut self.held, self.buffer.size());
         let held = self.wires.held.fetch_add(self.held, Ordering::Relaxed) + self.held;
         self.wires.held.fetch_sub(was, Ordering::Relaxed);
@@ -271,7 +342,9 @@
             self.buffer.consume(length);
             let probe = matches!(answer.word, hostline::Word::Well | hostline::Word::Ill);
             let tag = answer.id.parse().ok().filter(|_| probe);
-            lock(&self.shared.unanswered).remove(&answer.id);
+            if let Some(carried) = lock(&self.shared.carried).get_mut(&answer.id) {
+                carried.answered = true;
+            }
             if let Some(tag) = tag.filter(|tag| self.probes.remove(tag)) {
                 self.wires.module.send(Word::Probed { tag, answer });
             } else if let Some(leg) = self.legs.get(&answer.id).filter(|_| !probe) {
--- a/crates/rockflow-dispatcher/src/mailbox.rs
+++ b/crates/rockflow-dispatcher/src/mailbox.rs
@@ -15,13 +15,20 @@
     urgent: VecDeque<T>,
     rest: VecDeque<T>,
     wake: Option<Wake>,
+    /// The actor has ended: whatever comes is read by nobody.
+    closed: bool,
 }
 
 pub struct Mailbox<T>(Mutex<Letters<T>>);
 
 impl<T> Mailbox<T> {
     pub fn new() -> Arc<Self> {
-        Arc::new(Mailbox(Mutex::new(Letters { urgent: VecDeque::new(), rest: VecDeque::new(), wake: None })))
+        Arc::new(Mailbox(Mutex::new(Letters {
+            urgent: VecDeque::new(),
+            rest: VecDeque::new(),
+            wake: None,
+            closed: false,
+        })))
     }
 
     /// No coroutine gives way while it holds this lock, so it is never waited for long.
@@ -39,6 +46,9 @@
 
     fn put(&self, letter: T, urgent: bool) {
         let mut letters = self.letters();
+        if letters.closed {
+            return;
+        }
         if urgent {
             letters.urgent.push_back(letter);
         } else {
@@ -65,6 +75,19 @@
         self.len() == 0
     }
 
+    /// The actor has ended: what lies here is dropped, and so is what still comes.
+    pub fn close(&self) {
+        let mut letters = self.letters();
+        letters.closed = true;
+        letters.urgent.clear();
+        letters.rest.clear();
+        letters.wake = None;
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.letters().closed
+    }
+
     /// From now on the actor is woken this way.
     pub fn wake_by(&self, wake: Wake) {
         self.letters().wake = Some(wake);
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::host::Host;
 use crate::mailbox::{Mailbox, Wake};
+use crate::pass::Pass;
 use crate::rest;
 use crate::wires::Wires;
 use crate::words::*;
@@ -23,10 +24,12 @@
 
 struct LegOut {
     host: HostId,
+    source: Option<HostId>,
     /// Where its host is reached, also once that is no longer listed.
     mail: Option<Arc<Mailbox<Order>>>,
     sent: Duration,
     out: bool,
+    pass: Arc<Pass>,
 }
 
 impl LegOut {
@@ -50,6 +53,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Leg(LegKey),
+    /// A leg that has not begun by now may not begin any more.
+    Begin(LegKey),
     /// The module is late with a query's answer.
     Outer(QueryId),
     Timer(TimerId),
@@ -161,6 +166,7 @@
         for open in std::mem::take(&mut self.open) {
             let (id, open) = open;
             for (no, leg) in open.legs.iter().enumerate().filter(|(_, leg)| leg.out) {
+                leg.pass.withdraw();
                 leg.never_mind((id, LegNo(no as u16)), false);
             }
             if !open.answered {
@@ -191,6 +197,8 @@
                         self.ended[open.product].left += 1;
                     }
                     self.events.push_back(Event::ClientLeft(query));
+                    // Also where nothing may be called off: what has not begun need not begin.
+                    self.withdraw(|(id, _), _, _| id == query);
                     self.forget(query);
                 }
             }
@@ -240,6 +248,11 @@
         let Some(product) = self.given.products.iter().position(|name| *name == ask.product) else {
             return client.send(ClientWord::Answer(id, Answer::Wrong(404, "unknown class")));
         };
+        // Guards against work for a client that left while its request waited here.
+        if client.is_closed() {
+            self.ended[product].left += 1;
+            return;
+        }
         // Guards against two queries under one id, whose answers could not be told apart on their way.
         if !self.calls.insert(ask.call_id.clone()) {
             return client.send(ClientWord::Answer(id, Answer::Wrong(409, "id in use")));
@@ -264,14 +277,19 @@
     }
 
     fn list(&mut self, scope: ListScope, entries: Vec<Entry>) {
+        // Those to which nothing new may go, as hosts or as sources.
+        let mut leaving = BTreeSet::new();
         if scope != ListScope::Changes {
             let named = |id: &HostId| entries.iter().any(|entry| entry.listing.host == *id);
-            let lost: Vec<_> = self.peers.keys().copied().filter(|id| !named(id)).collect();
-            lost.into_iter().for_each(|id| self.retire(id));
+            leaving.extend(self.peers.keys().copied().filter(|id| !named(id)));
+            leaving.clone().into_iter().for_each(|id| self.retire(id));
         }
         for entry in &entries {
             let (id, gone) = (entry.listing.host, entry.listing.readiness == Readiness::Gone);
             let moved = self.peers.get(&id).is_some_and(|peer| peer.entry.address != entry.address);
+            if moved || entry.listing.readiness != Readiness::Ready {
+                leaving.insert(id);
+            }
             if gone || moved {
                 self.retire(id);
             }
@@ -285,6 +303,25 @@
         }
         let hosts = entries.into_iter().map(|entry| entry.listing).collect();
         self.events.push_back(Event::Listed { scope, hosts });
+        if !leaving.is_empty() {
+            self.withdraw(|_, _, leg| {
+                leaving.contains(&leg.host) || leg.source.is_some_and(|source| leaving.contains(&source))
+            });
+        }
+    }
+
+    /// Takes back legs that have not begun, so that they are decided anew by what is known now.
+    fn withdraw(&mut self, which: impl Fn(LegKey, &Open, &LegOut) -> bool) {
+        let mut keys = Vec::new();
+        for (id, open) in &self.open {
+            let legs = open.legs.iter().enumerate().map(|(no, leg)| ((*id, LegNo(no as u16)), leg));
+            let legs = legs.filter(|(key, leg)| leg.out && which(*key, open, leg) && leg.pass.withdraw());
+            keys.extend(legs.map(|(key, _)| key));
+        }
+        for key in keys {
+            self.open[&key.0].legs[usize::from(key.1 .0)].never_mind(key, false);
+            self.end_leg(key, Outcome::NotSent, None, Duration::ZERO);
+        }
     }
 
     fn purge(&mut self, flush: Flush) {
@@ -295,6 +332,11 @@
             group: flush.collection.map(GroupId),
             ago: clock.ago(flush.ms),
         });
+        // What has not begun was decided without this purge.
+        self.withdraw(|_, open, _| match (&flush.asset, flush.collection) {
+            (Some(asset), _) => *asset == open.ask.object,
+            (None, group) => group == Some(open.ask.group),
+        });
         self.purges.push(flush);
     }
 
@@ -338,10 +380,20 @@
         let key = (id, LegNo(open.legs.len() as u16));
         let left = open.ends.saturating_sub(now);
         let wait = leg.limit.map_or(left, |limit| limit.min(left));
-        open.legs.push(LegOut { host: leg.host, mail: mail.clone(), sent: now, out: true });
+        let by = leg.begin_by.map_or(now + wait, |by| by.min(now + wait));
+        let pass = Pass::new(by, open.client.clone());
+        let (host, source, sent) = (leg.host, leg.source, now);
+        open.legs.push(LegOut { host, source, mail: mail.clone(), sent, out: true, pass: pass.clone() });
         self.due.push(Reverse((now + wait, Due::Leg(key))));
+        if by < now + wait {
+            self.due.push(Reverse((by, Due::Begin(key))));
+        }
         let source =
             leg.source.and_then(|source| self.peers.get(&source)).map(|peer| peer.entry.name.as_str());
+        // Guards against a fill that is left out, which would be another leg than the one decided.
+        if leg.source.is_some() && source.is_none() {
+            return self.end_leg(key, Outcome::NotSent, None, Duration::ZERO);
+        }
         let filled = source.is_some();
         let line = Want {
             id: &open.ask.call_id,
@@ -359,7 +411,7 @@
             seen: open.ask.seen.as_deref(),
         };
         let (id, seen) = (open.ask.call_id.clone(), line.seen.is_some());
-        let order = Order::Want(Wanted { key, id, line: line.encode(), seen });
+        let order = Order::Want(Wanted { key, id, line: line.encode(), seen, pass });
         match mail {
             Some(mail) => mail.send(order),
             None => self.end_leg(key, Outcome::NotSent, None, Duration::ZERO),
@@ -401,6 +453,7 @@
     fn call_off(&mut self, key: LegKey, outcome: Outcome) {
         let Some(open) = self.open.get(&key.0) else { return };
         let Some(leg) = open.legs.get(usize::from(key.1 .0)).filter(|leg| leg.out) else { return };
+        leg.pass.withdraw();
         leg.never_mind(key, outcome == Outcome::TimedOut);
         self.end_leg(key, outcome, None, Duration::ZERO);
     }
@@ -456,6 +509,7 @@
             over: open.answered,
             note: note.map_or(Note::Untold, told),
             fill_wait: waited,
+            begun: leg.pass.begun(),
         }));
         self.forget(key.0);
     }
@@ -476,6 +530,7 @@
             self.due.pop();
             match due {
                 Due::Leg(key) => self.call_off(key, Outcome::TimedOut),
+                Due::Begin(late) => self.withdraw(|key, _, _| key == late),
                 Due::Probe(tag) => self.end_probe(tag, Outcome::TimedOut, Vec::new()),
                 Due::Timer(timer) => self.events.push_back(Event::TimerDue(timer)),
                 Due::Outer(id) => {
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -96,6 +96,7 @@
             connect_limit: told.wiring.connect_limit,
             idle_limit: told.wiring.idle_limit,
             most_streams: told.wiring.most_streams,
+            longest: longest.unwrap_or_default() + told.wiring.connect_limit,
             line_out: caps.line_out,
             lines: Mutex::new(BTreeMap::new()),
             next_line: AtomicU64::new(1),
--- a/crates/rockflow-dispatcher/src/wires.rs
+++ b/crates/rockflow-dispatcher/src/wires.rs
@@ -2,14 +2,17 @@
 
 use crate::clock::Clock;
 use crate::mailbox::Mailbox;
-use crate::words::{LineWord, Word};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::words::{LegKey, LineWord, Wanted, Word};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Part of the told idle time after which a connection is not used again: the host may be closing it.
 const IDLE_PART: f64 = 0.8;
+/// Ids that a line remembers at the most; past it nothing new goes on it.
+const MOST_CARRIED: usize = 1024;
+
 /// What all lines to hosts share.
 pub struct Wires {
     pub clock: Clock,
@@ -19,6 +22,8 @@
     pub idle_limit: Duration,
     /// Legs that one connection carries at once.
     pub most_streams: usize,
+    /// The longest that a query may be open: so long an answer to its legs may come.
+    pub longest: Duration,
     /// Bytes that may wait to be written on one connection.
     pub line_out: usize,
     /// Connections to all hosts, and their cap.
@@ -42,6 +47,41 @@
     }
 }
 
+/// Wants of one host for which no connection is free. They go on whichever is first: one that comes up, or one that
+/// has brought its answer. There are no more of them than legs of open queries, which have a cap.
+#[derive(Default)]
+pub struct Queue(Mutex<VecDeque<Wanted>>);
+
+impl Queue {
+    pub fn push(&self, wanted: Wanted) {
+        lock(&self.0).push_back(wanted);
+    }
+
+    pub fn len(&self) -> usize {
+        lock(&self.0).len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The one that has waited longest, of those that may go on the line.
+    pub fn pull(&self, line: &Line) -> Option<Wanted> {
+        let mut queue = lock(&self.0);
+        let carried = lock(&line.carried);
+        let at = queue.iter().position(|wanted| !carried.contains_key(&wanted.id))?;
+        queue.remove(at)
+    }
+
+    pub fn pop(&self) -> Option<Wanted> {
+        lock(&self.0).pop_front()
+    }
+
+    pub fn remove(&self, key: LegKey) {
+        lock(&self.0).retain(|wanted| wanted.key != key);
+    }
+}
+
 /// What the host's actor sees of a line.
 pub struct Line {
     pub mail: Arc<Mailbox<LineWord>>,
@@ -53,8 +93,16 @@
     pub spent: AtomicBool,
     pub out: AtomicUsize,
     pub used: Mutex<Duration>,
-    /// Ids whose answers may still come, given up or not: another leg under one could not be told apart.
-    pub unanswered: Mutex<BTreeSet<String>>,
+    /// When anything last came on it.
+    pub heard: Mutex<Duration>,
+    /// Ids that it has carried, and whether an answer has come: another leg under one could not be told from what is
+    /// still to come of the first, be it late or a second time.
+    pub carried: Mutex<BTreeMap<String, Carried>>,
+}
+
+pub struct Carried {
+    pub at: Duration,
+    pub answered: bool,
 }
 
 impl Line {
@@ -63,6 +111,11 @@
         self.up.load(Ordering::Relaxed) && !self.is_over()
     }
 
+    /// Whether anything came on it since then, and more may.
+    pub fn heard_since(&self, then: Duration) -> bool {
+        !self.is_over() && *lock(&self.heard) >= then
+    }
+
     pub fn is_midway(&self) -> bool {
         self.midway.load(Ordering::Relaxed)
     }
@@ -79,23 +132,41 @@
         self.over.load(Ordering::Relaxed)
     }
 
+    /// Remembers an id that goes on it, for as long as an answer may come.
+    pub fn carry(&self, id: &str, wires: &Wires) {
+        let at = wires.clock.now();
+        let mut carried = lock(&self.carried);
+        carried.retain(|_, old| at.saturating_sub(old.at) <= wires.longest);
+        carried.insert(id.to_string(), Carried { at, answered: false });
+    }
+
+    pub fn want(&self, wanted: Wanted, wires: &Wires) {
+        self.carry(&wanted.id, wires);
+        self.out.fetch_add(1, Ordering::Relaxed);
+        self.mail.send(LineWord::Want(wanted));
+    }
+
     pub fn send(&self, word: LineWord) {
-        if let LineWord::Want(wanted) = &word {
-            lock(&self.unanswered).insert(wanted.id.clone());
-            self.out.fetch_add(1, Ordering::Relaxed);
-        }
         self.mail.send(word);
     }
 
+    pub fn is_connecting(&self) -> bool {
+        !self.up.load(Ordering::Relaxed) && !self.is_over()
+    }
+
+    /// Whether a leg under this id may go on it. Nothing gets through behind an answer that nobody waits for and
+    /// that is not over.
     pub fn takes(&self, id: &str, wires: &Wires) -> bool {
-        let again = lock(&self.unanswered).contains(id);
-        !self.is_over() && !again && !self.is_spent(wires) && self.out() < wires.most_streams
+        let again = lock(&self.carried).contains_key(id);
+        let blocked = self.is_midway() && self.out() == 0;
+        self.is_up() && !again && !blocked && !self.is_spent(wires) && self.out() < wires.most_streams
     }
 
     /// Whether nothing new will ever go on it.
     pub fn is_spent(&self, wires: &Wires) -> bool {
         let idle = wires.clock.now().saturating_sub(self.used());
-        self.spent.load(Ordering::Relaxed) || idle >= wires.idle_limit.mul_f64(IDLE_PART)
+        let full = lock(&self.carried).len() >= MOST_CARRIED;
+        self.spent.load(Ordering::Relaxed) || full || idle >= wires.idle_limit.mul_f64(IDLE_PART)
     }
 }
 
--- a/crates/rockflow-dispatcher/src/words.rs
+++ b/crates/rockflow-dispatcher/src/words.rs
@@ -1,6 +1,7 @@
 //! The words that the dispatcher's actors exchange. Every actor uses them, and they use none of the actors.
 
 use crate::mailbox::Mailbox;
+use crate::pass::Pass;
 use rockflow::interface::*;
 use rockflow_protocol::board::{Flush, Notice};
 use rockflow_protocol::front::{Answer, Ask};
@@ -67,17 +68,18 @@
 }
 
 /// What a line is asked to carry out to its host.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Wanted {
     pub key: LegKey,
     pub id: String,
     pub line: Vec<u8>,
     /// It names the client's copy, so that the answer may be that this one holds.
     pub seen: bool,
+    pub pass: Arc<Pass>,
 }
 
 /// To a host's actor.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub enum Order {
     Want(Wanted),
     /// `unheard`: its time was up, so that a line which has brought nothing since may be dead.
@@ -95,13 +97,21 @@
     /// The host is gone: what is out may end, nothing new comes.
     Retire,
     /// A line ended, with what was given to it.
-    LineOver(Vec<Fallen>),
+    LineOver {
+        fallen: Vec<Fallen>,
+        /// What was given to it and may go on another.
+        again: Vec<Wanted>,
+        /// It never came up.
+        failed: bool,
+    },
 }
 
 /// Legs that ended with their line: what that means if the host is gone, and if it lives.
 #[derive(Clone, Debug)]
 pub struct Fallen {
     pub legs: Vec<LegKey>,
+    /// Only what another connection brought since then shows that the host lives; none: one that stands does.
+    pub unless_heard: Option<Duration>,
     pub if_gone: Outcome,
     pub if_it_lives: Outcome,
 }
--- /dev/null
+++ b/crates/rockflow-dispatcher/tests/common/mod.rs
@@ -0,0 +1,481 @@
+//! Plays a scenario against a whole dispatcher on loopback sockets. A line is a party and what it does:
+//!
+//!     host NAME cache|parent|origin [shut] [unlisted]   listed at the start, at a port of its own; `shut`: its queue
+//!                                       is full, so that what connects to it stays on its way
+//!     start [unknown-product] [sockets=N] [/PATH=JSON]   the dispatcher, with a product that the decisions don't know,
+//!                                       and other values in its configuration
+//!     freeze | thaw                     nothing of the dispatcher runs in between, but for a planned stop's own thread
+//!     until hosts|clients|held N | until rev N | until finishing   so many connections stand, or are on their way;
+//!                                       the board's notice has been heard; a planned stop takes nothing more
+//!     crowd N                           so many clients connect and say nothing
+//!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks, connecting first if it has to
+//!     a sends TEXT                      raw, with \r \n
+//!     a gets STATUS WORD...             one answer, holding all words
+//!     a pours N | a floods              sends so many bytes of no meaning; without end, beside what follows
+//!     a closes | a resets | a ended     the client leaves; the dispatcher has closed
+//!     a within MS ...                   what follows, by then
+//!     c shuts | c opens                 its queue is full from now on, or not any more
+//!     c untaken MS                      nobody connects to it in that time
+//!     c quiet MS                        nothing is said to it in that time
+//!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
+//!     c gets WORD...                    a line holding all words but those after `!`, a field below N with
+//!                                       `FIELD<N`; its id is remembered
+//!     c trails WORD...                  the same, and it comes a moment after the line that was got before
+//!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
+//!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
+//!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board; in JSON `@NAME` is
+//!                                       the address of a host, `@now` the Unix time in milliseconds
+//!     reload board2                     a configuration that names another board
+//!     mark NAME=draining|gone ... [until=MS]   operators' marks, in place of those before; the start said `marked`
+//!     wait MS                           time passes
+//!     stop | over                       a planned stop begins; it has come to its end
+//!     overdue N                         queries so far that the decisions left without an answer in time
+
+use rockflow::interface::Readiness;
+use rockflow_dispatcher::{Clock, Link, Phase, Service, Told};
+use rockflow_roster::{Mark, Marks};
+use serde_json::{json, Value};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Once;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+static SET_UP: Once = Once::new();
+
+thread_local! {
+    /// A thread of the play itself, which may set its sockets' time limits.
+    static OURS: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Stands before the C library's own. Guards against a dispatcher that leans on time limits of sockets, which not
+/// every platform has: to its threads they are refused.
+///
+/// # Safety
+/// As that of the call it stands for.
+#[no_mangle]
+pub unsafe extern "C" fn setsockopt(
+    socket: libc::c_int,
+    level: libc::c_int,
+    name: libc::c_int,
+    value: *const libc::c_void,
+    length: libc::socklen_t,
+) -> libc::c_int {
+    let limit = level == libc::SOL_SOCKET && matches!(name, libc::SO_SNDTIMEO | libc::SO_RCVTIMEO);
+    if limit && !OURS.get() {
+        *libc::__errno_location() = libc::EBADF;
+        return -1;
+    }
+    libc::syscall(libc::SYS_setsockopt, socket, level, name, value, length) as libc::c_int
+}
+
+struct Party {
+    listener: Option<TcpListener>,
+    /// Connections that fill its queue.
+    fillers: Vec<socket2::Socket>,
+    stream: Option<BufReader<TcpStream>>,
+    id: String,
+}
+
+impl Party {
+    fn connect(&mut self, stream: TcpStream) {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        self.stream = Some(BufReader::new(stream));
+    }
+
+    fn accept(&mut self) -> TcpStream {
+        let listener = self.listener.as_ref().expect("a listener");
+        socket2::SockRef::from(listener).set_read_timeout(Some(PATIENCE)).unwrap();
+        listener.accept().expect("a connection in time").0
+    }
+
+    /// Fills the queue of those who wait to be accepted: whoever else connects stays on the way.
+    fn shut(&mut self) {
+        let address = self.listener.as_ref().expect("a listener").local_addr().unwrap();
+        let fill = |_| {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            let _ = socket.connect(&address.into());
+            socket
+        };
+        self.fillers = (0..4).map(fill).collect();
+    }
+
+    /// Takes those out again; what has stayed on the way comes up within the second.
+    fn open(&mut self) {
+        self.fillers.clear();
+        let listener = self.listener.as_ref().expect("a listener");
+        listener.set_nonblocking(true).unwrap();
+        while listener.accept().is_ok() {}
+        listener.set_nonblocking(false).unwrap();
+    }
+
+    fn untaken(&mut self, span: Duration) {
+        let listener = self.listener.as_ref().expect("a listener");
+        socket2::SockRef::from(listener).set_read_timeout(Some(span)).unwrap();
+        assert!(listener.accept().is_err(), "somebody connected");
+    }
+
+    fn quiet(&mut self, span: Duration) {
+        let stream = self.stream().get_ref();
+        stream.set_read_timeout(Some(span)).unwrap();
+        let mut byte = [0];
+        match self.stream().read(&mut byte) {
+            Ok(0) => {}
+            Ok(_) => panic!("said: {:?}", char::from(byte[0])),
+            Err(what) => assert!(matches!(what.kind(), ErrorKind::WouldBlock | ErrorKind::ConnectionReset)),
+        }
+        self.stream().get_ref().set_read_timeout(Some(PATIENCE)).unwrap();
+    }
+
+    fn send(&mut self, text: &str) {
+        self.stream().get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
+    fn stream(&mut self) -> &mut BufReader<TcpStream> {
+        self.stream.as_mut().expect("connected")
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.stream().read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    /// A head, and the body that it announces.
+    fn answer(&mut self) -> String {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            let line = self.line();
+            assert!(!line.is_empty(), "ended after {text:?}");
+            text += &line;
+        }
+        let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+        let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+        self.stream().read_exact(&mut body).expect("a body in time");
+        text + &String::from_utf8_lossy(&body)
+    }
+
+    fn ended(&mut self) {
+        let mut rest = Vec::new();
+        match self.stream().read_to_end(&mut rest) {
+            Ok(_) => assert!(rest.is_empty(), "{:?}", String::from_utf8_lossy(&rest)),
+            Err(what) => assert_eq!(what.kind(), std::io::ErrorKind::ConnectionReset),
+        }
+    }
+}
+
+struct Play {
+    parties: BTreeMap<String, Party>,
+    instances: Vec<Value>,
+    service: Option<Service>,
+    address: Option<SocketAddr>,
+    stopping: Option<JoinHandle<Service>>,
+    /// Configurations for a dispatcher that is stopping.
+    reloads: Option<Sender<Told>>,
+    link: Option<Link>,
+    got: Instant,
+    /// Held while the dispatcher's one worker stands still.
+    frozen: Option<Sender<()>>,
+    /// Clients that say nothing.
+    crowd: Vec<TcpStream>,
+}
+
+impl Play {
+    fn party(&mut self, name: &str) -> &mut Party {
+        let fresh = || Party { listener: None, fillers: Vec::new(), stream: None, id: String::new() };
+        self.parties.entry(name.to_string()).or_insert_with(fresh)
+    }
+
+    fn host(&mut self, name: &str, words: &[&str]) {
+        use socket2::{Domain, Socket, Type};
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        // One that can be shut has room for one in its queue.
+        let shut = words.contains(&"shut");
+        socket.listen(if shut || words.contains(&"narrow") { 0 } else { 128 }).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap().to_string();
+        let party = self.party(name);
+        party.listener = Some(listener);
+        if shut {
+            party.shut();
+        }
+        if words.contains(&"unlisted") {
+            return;
+        }
+        let (zone, kind) = match words[0] {
+            "cache" => ("shop", "box"),
+            role => ("hub", role),
+        };
+        self.instances
+            .push(json!({"instanceId": name, "hostPort": address, "zone": zone, "machineType": kind,
+            "lifecycle": "active", "weight": 8, "startedAtMs": 0}));
+    }
+
+    fn told(&mut self, board: &str, words: &[&str]) -> Told {
+        let mut value: Value = serde_json::from_str(include_str!("../../../../deploy/example.json")).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        value["board"] = json!(listener.local_addr().unwrap().to_string());
+        self.party(board).listener = Some(listener);
+        value["listen"] = json!("127.0.0.1:0");
+        value["known"]["notices"][0]["pool"]["instances"] = json!(self.instances);
+        if let Some(sockets) = words.iter().find_map(|word| word.strip_prefix("sockets=")) {
+            value["limits"]["sockets"] = json!(sockets.parse::<usize>().unwrap());
+        }
+        for (path, told) in words.iter().filter_map(|word| word.split_once('=')) {
+            if path.starts_with('/') {
+                let (above, key) = path.rsplit_once('/').unwrap();
+                let above = value.pointer_mut(above).expect("a place in the configuration");
+                above[key] = serde_json::from_str(told).unwrap();
+            }
+        }
+        Told::read(&value.to_string()).unwrap()
+    }
+
+    /// Stops the one worker on which all of the dispatcher runs.
+    fn freeze(&mut self) {
+        let (frozen, stands) = channel();
+        let (thaw, go) = channel::<()>();
+        may::go!(move || {
+            frozen.send(()).unwrap();
+            let _ = go.recv();
+        });
+        stands.recv_timeout(PATIENCE).unwrap();
+        self.frozen = Some(thaw);
+    }
+
+    /// Waits for what the dispatcher itself counts.
+    fn until(&mut self, what: &str, count: usize) {
+        let link = self.link.clone().unwrap_or_else(|| self.service.as_ref().unwrap().link());
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let there = match what {
+                "finishing" => link.phase() == Phase::Finishing,
+                "rev" => link.board().1 >= count as u64,
+                _ => link.fills().iter().any(|(name, _, fill)| *name == what && *fill == count),
+            };
+            if there && what == "rev" {
+                // And the decisions have heard of it.
+                let (done, wait) = channel();
+                assert!(link.survey(move |_| done.send(()).unwrap()));
+                return wait.recv_timeout(PATIENCE).unwrap();
+            }
+            if there {
+                return;
+            }
+            assert!(Instant::now() < end, "{what} {count}: {:?}, {:?}", link.phase(), link.fills());
+            std::thread::yield_now();
+        }
+    }
+
+    /// Puts addresses and the time where the text names them.
+    fn filled(&self, text: &str) -> String {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let mut text = text.replace("@now", &now.to_string());
+        for (name, party) in &self.parties {
+            if let Some(listener) = &party.listener {
+                let address = listener.local_addr().unwrap().to_string();
+                text = text.replace(&format!("\"@{name}\""), &format!("\"{address}\""));
+            }
+        }
+        text
+    }
+
+    fn start(&mut self, words: &[&str]) {
+        let mut told = self.told("board", words);
+        if words.contains(&"unknown-product") {
+            told.wiring.products.push("unknown".to_string());
+        }
+        SET_UP.call_once(Service::set_up);
+        let marked = words.contains(&"marked").then(Marks::new);
+        let service = Service::start_marked(Clock::start(), told, marked).unwrap();
+        self.address = Some(service.listens_at());
+        self.service = Some(service);
+    }
+
+    fn client(&mut self, name: &str) -> &mut Party {
+        let address = self.address;
+        let party = self.party(name);
+        if party.stream.is_none() {
+            party.connect(TcpStream::connect(address.expect("started")).unwrap());
+        }
+        party
+    }
+
+    fn play(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let (name, verb, rest) =
+            (words[0], words.get(1).copied().unwrap_or(""), words.get(2..).unwrap_or(&[]));
+        let raw = || line.splitn(3, ' ').nth(2).unwrap_or("").replace("\\r", "\r").replace("\\n", "\n");
+        let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
+        match (name, verb) {
+            ("host", name) => self.host(name, rest),
+            ("start", _) => self.start(&words),
+            ("stop", _) => {
+                let mut service = self.service.take().unwrap();
+                self.link = Some(service.link());
+                assert_eq!(service.phase(), Phase::Serving);
+                let (reloads, told) = channel();
+                self.reloads = Some(reloads);
+                self.stopping = Some(std::thread::spawn(move || {
+                    service.stop_heeding(|service| told.try_iter().for_each(|told| service.reload(&told)));
+                    service
+                }));
+            }
+            ("over", _) => {
+                let service = self.stopping.take().unwrap().join().unwrap();
+                assert_eq!(service.phase(), Phase::Over);
+            }
+            ("crowd", count) => {
+                let address = self.address.expect("started");
+                let crowd = (0..count.parse().unwrap()).map(|_| TcpStream::connect(address).unwrap());
+                self.crowd = crowd.collect();
+            }
+            ("freeze", _) => self.freeze(),
+            ("thaw", _) => self.frozen = None,
+            ("until", what) => self.until(what, rest.first().map_or(0, |count| count.parse().unwrap())),
+            ("overdue", count) => {
+                let (done, wait) = channel();
+                let link = self.link.clone().unwrap_or_else(|| self.service.as_ref().unwrap().link());
+                assert!(link.survey(move |survey| done.send(survey.overdue).unwrap()));
+                assert_eq!(wait.recv_timeout(PATIENCE).unwrap().to_string(), count);
+            }
+            ("mark", _) => {
+                let link = self.service.as_ref().unwrap().link();
+                let until = words.iter().find_map(|word| word.strip_prefix("until="));
+                let until = until.map(|ms| link.clock.now() + Duration::from_millis(ms.parse().unwrap()));
+                let marks = words[1..].iter().filter_map(|word| word.split_once('='));
+                let marks = marks.filter(|(name, _)| *name != "until").map(|(name, state)| {
+                    let readiness = if state == "gone" { Readiness::Gone } else { Readiness::Draining };
+                    (name.to_string(), Mark { readiness, until, force: false })
+                });
+                let (done, wait) = channel();
+                assert!(link.mark(marks.collect(), move || done.send(()).unwrap()));
+                wait.recv_timeout(PATIENCE).unwrap();
+            }
+            // Time itself is what the line is about: the dispatcher's clock is the system's.
+            ("wait", ms) => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
+            ("reload", board) => {
+                let told = self.told(board, &[]);
+                match &mut self.service {
+                    Some(service) => service.reload(&told),
+                    None => self.reloads.as_ref().expect("stopping").send(told).unwrap(),
+                }
+            }
+            ("board" | "board2", "takes") => {
+                let board = self.party(name);
+                let stream = board.accept();
+                board.connect(stream);
+                let head = board.answer();
+                assert!(head.contains(&format!("Last-Event-ID: {}\r\n", rest[0])), "{head}");
+                board.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            }
+            ("board" | "board2", "says") => {
+                let event = self.filled(&raw());
+                self.party(name).send(&format!("data: {event}\n\n"));
+            }
+            (_, "asks") => {
+                let headers = rest.iter().filter_map(|word| word.split_once(':'));
+                let headers: String = headers.map(|(key, value)| format!("{key}: {value}\r\n")).collect();
+                let (id, patience) = (value("id=").unwrap(), value("patience=").unwrap_or("4000"));
+                let ask = format!("GET /invoke/{} HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Group: 1\r\n", rest[0]);
+                self.client(name).send(&format!("{ask}X-Patience-Ms: {patience}\r\n{headers}\r\n"));
+            }
+            (_, "sends") if self.parties.get(name).is_none_or(|party| party.listener.is_none()) => {
+                self.client(name).send(&raw())
+            }
+            (_, "sends") => self.party(name).send(&raw()),
+            (_, "pours") => self.client(name).send(&"x".repeat(rest[0].parse().unwrap())),
+            (_, "floods") => {
+                let mut stream = self.client(name).stream().get_ref().try_clone().unwrap();
+                std::thread::spawn(move || while stream.write_all(&[b'x'; 65536]).is_ok() {});
+            }
+            (_, "takes") => {
+                let stream = self.party(name).accept();
+                self.party(rest.last().unwrap_or(&name)).connect(stream);
+            }
+            (_, "gets") if rest[0].parse::<u16>().is_ok() => {
+                let answer = self.party(name).answer();
+                let status = format!("HTTP/1.1 {} ", rest[0]);
+                assert!(answer.starts_with(&status), "{answer:?} for {line:?}");
+                rest[1..].iter().for_each(|word| assert!(answer.contains(word), "{answer:?} for {line:?}"));
+            }
+            (_, "trails") => {
+                let before = self.got;
+                self.play(&format!("{name} gets {}", rest.join(" ")));
+                assert!(self.got - before > Duration::from_millis(1), "{:?}", self.got - before);
+            }
+            (_, "gets") => {
+                let party = self.party(name);
+                let got = party.line();
+                let fits = |word: &&str| match (word.strip_prefix('!'), word.split_once('<')) {
+                    (Some(word), _) => !got.contains(word),
+                    (_, Some((field, most))) => {
+                        let value = got
+                            .split([',', ' '])
+                            .find_map(|part| part.strip_prefix(field)?.strip_prefix('='));
+                        let value = value.and_then(|value| value.parse::<u64>().ok());
+                        value.is_some_and(|value| value < most.parse().unwrap())
+                    }
+                    _ => got.contains(*word),
+                };
+                assert!(rest.iter().all(fits), "{got:?} for {line:?}");
+                if got.starts_with("want") {
+                    party.id = got.split(' ').nth(1).unwrap().to_string();
+                    assert_eq!(party.line(), "\r\n");
+                }
+                self.got = Instant::now();
+            }
+            (_, "says") => {
+                let party = self.party(name);
+                let id = value("id=").map_or(party.id.clone(), str::to_string);
+                let body = value("body=").unwrap_or("");
+                party.send(&format!("{id} {} {} {}\r\n{body}\r\n", rest[0], rest[1], body.len()));
+            }
+            (_, "within") => {
+                let wait = Some(Duration::from_millis(rest[0].parse().unwrap()));
+                self.party(name).stream().get_ref().set_read_timeout(wait).unwrap();
+                self.play(&format!("{name} {}", rest[1..].join(" ")));
+            }
+            (_, "dies") => (self.party(name).listener, self.party(name).stream) = (None, None),
+            (_, "closes") => self.party(name).stream = None,
+            (_, "resets") => {
+                let stream = self.party(name).stream.take().unwrap();
+                socket2::SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            (_, "shuts") => self.party(name).shut(),
+            (_, "opens") => self.party(name).open(),
+            (_, "untaken") => self.party(name).untaken(Duration::from_millis(rest[0].parse().unwrap())),
+            (_, "quiet") => self.party(name).quiet(Duration::from_millis(rest[0].parse().unwrap())),
+            (_, "ended") => self.party(name).ended(),
+            _ => panic!("no such line: {line:?}"),
+        }
+    }
+}
+
+/// Plays a scenario to its end.
+pub fn play(text: &str) {
+    OURS.set(true);
+    let mut play = Play {
+        parties: BTreeMap::new(),
+        instances: Vec::new(),
+        service: None,
+        address: None,
+        stopping: None,
+        reloads: None,
+        link: None,
+        got: Instant::now(),
+        frozen: None,
+        crowd: Vec::new(),
+    };
+    let lines = text.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#'));
+    lines.for_each(|line| {
+        println!("{line}");
+        play.play(line);
+    });
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -0,0 +1,24 @@
+//! Pairs of events that cross, in the order that hurts, forced by gates and scripted peers: docs/crossings.md lists them.
+
+mod common;
+
+use std::sync::{Mutex, PoisonError};
+use test_case::test_case;
+
+/// One at a time: `freeze` stops every dispatcher of the process.
+static ALONE: Mutex<()> = Mutex::new(());
+
+#[test_case(include_str!("scenarios/crossings/drain-connecting.txt"); "a drain while a leg waits for its connection")]
+#[test_case(include_str!("scenarios/crossings/gone-connecting.txt"); "a host gone while a leg waits for its connection")]
+#[test_case(include_str!("scenarios/crossings/source-drains.txt"); "a source's drain while a leg waits for its connection")]
+#[test_case(include_str!("scenarios/crossings/purge-connecting.txt"); "a purge while a leg waits for its connection")]
+#[test_case(include_str!("scenarios/crossings/purge-of-a-group.txt"); "a group's purge while a leg waits for its connection")]
+#[test_case(include_str!("scenarios/crossings/left-connecting.txt"); "a client leaves while its leg waits for a connection")]
+#[test_case(include_str!("scenarios/crossings/second-absent.txt"); "a second answer under an id that is out again")]
+#[test_case(include_str!("scenarios/crossings/window-passes.txt"); "the window passes while a repeat waits")]
+#[test_case(include_str!("scenarios/crossings/orphan-answer.txt"); "an answer that nobody waits for goes on")]
+#[test_case(include_str!("scenarios/crossings/late-beside-live.txt"); "a connection that comes up late beside one that lives")]
+fn crossing(text: &str) {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    common::play(text);
+}
--- /dev/null
+++ b/crates/rockflow-dispatcher/tests/line.rs
@@ -0,0 +1,223 @@
+//! One connection to a host, with a scripted peer at its other end: what crosses there is held back till both are here.
+
+use rockflow::interface::{LegNo, Outcome, QueryId};
+use rockflow_dispatcher::line;
+use rockflow_dispatcher::mailbox::Mailbox;
+use rockflow_dispatcher::pass::Pass;
+use rockflow_dispatcher::wires::{Line, Queue, Wires};
+use rockflow_dispatcher::words::{LegKey, Order, Wanted, Word};
+use rockflow_dispatcher::{Clock, Service};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex, Once, PoisonError};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+/// More than the system takes from a writer before somebody reads.
+const MUCH: usize = 64 << 20;
+static SET_UP: Once = Once::new();
+/// One at a time: a freeze stops every line of the process.
+static ALONE: Mutex<()> = Mutex::new(());
+
+struct Bed {
+    clock: Clock,
+    module: Arc<Mailbox<Word>>,
+    host: Arc<Mailbox<Order>>,
+    queue: Arc<Queue>,
+    wires: Arc<Wires>,
+    line: Arc<Line>,
+    peer: BufReader<TcpStream>,
+}
+
+fn wait<T>(what: &str, mut there: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(there) = there() {
+            return there;
+        }
+        assert!(Instant::now() < end, "{what}");
+        std::thread::yield_now();
+    }
+}
+
+impl Bed {
+    fn new() -> Bed {
+        SET_UP.call_once(Service::set_up);
+        let (clock, module, host) = (Clock::start(), Mailbox::new(), Mailbox::new());
+        let wires = Arc::new(Wires {
+            clock,
+            module: module.clone(),
+            connect_limit: Duration::from_secs(1),
+            idle_limit: Duration::from_secs(30),
+            most_streams: 100,
+            longest: PATIENCE,
+            line_out: 2 * MUCH,
+            lines: Mutex::new(BTreeMap::new()),
+            next_line: AtomicU64::new(0),
+            most_lines: 10,
+            held: Arc::new(AtomicUsize::new(0)),
+            most_held: 1 << 20,
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let queue = Arc::new(Queue::default());
+        let line = line::start("c1".to_string(), at, wires.clone(), host.clone(), queue.clone());
+        let (peer, _) = listener.accept().unwrap();
+        peer.set_read_timeout(Some(PATIENCE)).unwrap();
+        wait("the line is up", || line.is_up().then_some(()));
+        Bed { clock, module, host, queue, wires, line, peer: BufReader::new(peer) }
+    }
+
+    fn wanted(&self, number: u64, line: Vec<u8>) -> Wanted {
+        let pass = Pass::new(self.clock.now() + PATIENCE, Mailbox::new());
+        Wanted { key: (QueryId(number), LegNo(0)), id: format!("{number:016x}"), line, seen: false, pass }
+    }
+
+    fn small(&self, number: u64) -> Wanted {
+        self.wanted(number, format!("want {number:016x} - 0\r\n\r\n").into_bytes())
+    }
+
+    fn give(&self, wanted: &Wanted) {
+        self.line.want(wanted.clone(), &self.wires);
+    }
+
+    fn got(&mut self) -> String {
+        let mut line = String::new();
+        self.peer.read_line(&mut line).expect("a line in time");
+        line
+    }
+
+    /// Answers a leg, and waits till the module has it.
+    fn answers(&mut self, wanted: &Wanted) {
+        assert!(self.got().contains(&wanted.id));
+        assert_eq!(self.got(), "\r\n");
+        let answer = format!("{} data ver=t 2\r\nok\r\n", wanted.id);
+        self.peer.get_mut().write_all(answer.as_bytes()).unwrap();
+        assert_eq!(self.answered(), wanted.key);
+    }
+
+    fn answered(&self) -> LegKey {
+        match wait("a word to the module", || self.module.take()) {
+            Word::Answered { key, .. } => key,
+            _ => panic!("another word"),
+        }
+    }
+
+    fn fell(&self) -> (LegKey, Outcome) {
+        match wait("a word to the module", || self.module.take()) {
+            Word::Fell { key, outcome } => (key, outcome),
+            _ => panic!("another word"),
+        }
+    }
+}
+
+/// Stops the one worker on which all actors run, till the gate is dropped.
+fn freeze() -> Sender<()> {
+    let (frozen, stands) = channel();
+    let (thaw, go) = channel::<()>();
+    may::go!(move || {
+        frozen.send(()).unwrap();
+        let _ = go.recv();
+    });
+    stands.recv_timeout(PATIENCE).unwrap();
+    thaw
+}
+
+fn alone() -> impl Drop {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[test]
+fn a_connection_closed_as_a_leg_is_given_to_it_leaves_the_leg_unbegun() {
+    let _alone = alone();
+    let mut bed = Bed::new();
+    let first = bed.small(1);
+    bed.give(&first);
+    bed.answers(&first);
+    let gate = freeze();
+    let second = bed.small(2);
+    bed.give(&second);
+    bed.peer.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+    drop(gate);
+    let over = wait("the line is over", || bed.host.take());
+    let Order::LineOver { fallen, again, failed } = over else { panic!("another order") };
+    assert!(!second.pass.begun() && !failed);
+    assert_eq!(again.iter().map(|wanted| wanted.key).collect::<Vec<_>>(), [second.key]);
+    assert!(fallen.iter().all(|fallen| fallen.legs.is_empty()), "{fallen:?}");
+}
+
+/// From a host that takes connections and closes them at once it is not tried without end.
+#[test]
+fn a_connection_that_never_brought_anything_is_no_reason_to_try_another() {
+    let _alone = alone();
+    let bed = Bed::new();
+    let gate = freeze();
+    let wanted = bed.small(1);
+    bed.give(&wanted);
+    bed.peer.get_ref().shutdown(std::net::Shutdown::Both).unwrap();
+    drop(gate);
+    let over = wait("the line is over", || bed.host.take());
+    let Order::LineOver { fallen, again, .. } = over else { panic!("another order") };
+    assert!(!wanted.pass.begun() && again.is_empty());
+    let last = fallen.last().unwrap();
+    assert_eq!((&last.legs[..], last.if_it_lives), (&[wanted.key][..], Outcome::NotSent));
+}
+
+#[test]
+fn a_leg_withdrawn_before_its_first_byte_never_goes_out() {
+    let _alone = alone();
+    let mut bed = Bed::new();
+    let gate = freeze();
+    let (gone, client_left, late, next) = (bed.small(1), bed.small(2), bed.small(3), bed.small(4));
+    let client = Mailbox::new();
+    let client_left = Wanted { pass: Pass::new(bed.clock.now() + PATIENCE, client.clone()), ..client_left };
+    let late = Wanted { pass: Pass::new(bed.clock.now(), Mailbox::new()), ..late };
+    [&gone, &client_left, &late, &next].into_iter().for_each(|wanted| bed.give(wanted));
+    assert!(gone.pass.withdraw());
+    client.close();
+    drop(gate);
+    for wanted in [&gone, &client_left, &late] {
+        assert_eq!(bed.fell(), (wanted.key, Outcome::NotSent));
+    }
+    bed.answers(&next);
+}
+
+/// The host reads nothing, so that a leg waits behind what is half out: it is taken back, and when the host reads again
+/// it never sees it.
+#[test]
+fn a_leg_behind_a_host_that_reads_nothing_can_be_taken_back() {
+    let _alone = alone();
+    let mut bed = Bed::new();
+    let (much, taken_back, next) = (bed.wanted(1, vec![b'x'; MUCH]), bed.small(2), bed.small(3));
+    bed.give(&much);
+    wait("the first is half out", || much.pass.begun().then_some(()));
+    bed.give(&taken_back);
+    bed.give(&next);
+    assert!(taken_back.pass.withdraw(), "it has begun");
+    assert!(!much.pass.withdraw());
+    let mut rest = vec![0; MUCH];
+    bed.peer.read_exact(&mut rest).unwrap();
+    assert_eq!(bed.fell(), (taken_back.key, Outcome::NotSent));
+    bed.answers(&next);
+}
+
+/// What waits for a connection goes on the first that is free, and not where its id has been.
+#[test]
+fn a_leg_that_waits_for_a_connection_goes_on_the_one_that_is_free_first() {
+    let _alone = alone();
+    let mut bed = Bed::new();
+    let (first, again, other) = (bed.small(1), bed.small(1), bed.small(2));
+    bed.give(&first);
+    assert!(bed.got().contains(&first.id));
+    assert_eq!(bed.got(), "\r\n");
+    bed.queue.push(again);
+    bed.queue.push(other.clone());
+    let answer = format!("{} absent - 0\r\n\r\n", first.id);
+    bed.peer.get_mut().write_all(answer.as_bytes()).unwrap();
+    assert_eq!(bed.answered(), first.key);
+    bed.answers(&other);
+    assert_eq!(bed.queue.len(), 1);
+}
--- a/crates/rockflow/src/interface.rs
+++ b/crates/rockflow/src/interface.rs
@@ -230,6 +230,8 @@
     pub note: Note,
     /// Time to the source's first byte or to its failure; zero where untold.
     pub fill_wait: Duration,
+    /// A byte of it went out; false: it surely never ran, whatever the outcome.
+    pub begun: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -285,6 +287,8 @@
     pub source: Option<HostId>,
     /// None: until the client gives up.
     pub limit: Option<Duration>,
+    /// When it must have gone out, or not at all; none: as long as its limit lasts.
+    pub begin_by: Option<Duration>,
     pub keep: Keep,
     /// None: the product's fresh time, or any age where it has none.
     pub oldest: Option<Duration>,
--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -49,6 +49,8 @@
 const LEG_DEVIATIONS: f64 = 3.0;
 /// Part of the due time that the held-copy retry is left besides its sending.
 const RETRY_FIXED: f64 = 0.2;
+/// Legs that a query may take in all, over those that the told limit lets begin.
+const UNBEGUN_LEGS: usize = 2;
 /// Part of the time a list may be relied on after which it is asked for again, once to twice.
 const ASK_AGAIN: f64 = 0.1;
 const SUBSCRIPTION: TimerId = TimerId(0);
@@ -112,7 +114,8 @@
     Unsent,
     Out,
     CalledOff,
-    Over(Outcome),
+    /// Whether it may have run.
+    Over(bool),
 }
 
 #[derive(Debug)]
@@ -136,6 +139,8 @@
     work: f64,
     ordinary: Duration,
     legs: Vec<LegState>,
+    /// Legs that ended before a byte of them went out.
+    unbegun: usize,
     begun: bool,
     /// Hosts that failed this query, as host or as source; whether the origin did, which no source mends.
     failed: Vec<HostId>,
@@ -152,14 +157,15 @@
 
     /// Hosts of legs of which it is not known that they never ran, and since when; a former holder's too.
     fn maybe_ran(&self) -> impl Iterator<Item = (HostId, Duration)> + '_ {
-        let may = |leg: &&LegState| !matches!(leg.present, Present::Over(outcome) if never_ran(outcome));
+        let may = |leg: &&LegState| leg.present != Present::Over(false);
         let own = self.legs.iter().filter(may).map(|leg| (leg.plan.host, leg.sent));
         own.chain(self.query.former.iter().map(|leg| (leg.host, leg.sent)))
     }
 }
 
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::TurnedAway | Outcome::NotConnected | Outcome::NotSent | Outcome::Miss)
+fn never_ran(end: &LegEnd) -> bool {
+    let told = [Outcome::TurnedAway, Outcome::NotConnected, Outcome::NotSent, Outcome::Miss];
+    !end.begun || told.contains(&end.outcome)
 }
 
 /// Guards against fills that crowd a full link or a slow source: when they come late, their number is cut
@@ -532,6 +538,7 @@
             work,
             ordinary: Duration::from_secs_f64(LEG_SENDING * usual) + told.due.mul_f64(LEG_FIXED),
             legs: Vec::new(),
+            unbegun: 0,
             begun: false,
             failed: Vec::new(),
             barren: false,
@@ -548,7 +555,7 @@
         match self.rows[open.query.product.0].told.effect {
             Effect::Redoable => true,
             Effect::Irreversible => open.maybe_ran().next().is_none(),
-            Effect::Labelled { scope, remembered } => {
+            Effect::Labelled { scope, .. } => {
                 let group = |id: &HostId| {
                     self.hosts.get(id).map(|host| match scope {
                         LabelScope::All => 0,
@@ -556,13 +563,24 @@
                         LabelScope::Cell => host.listing.cell.0,
                     })
                 };
-                // Not to the end of the remembered time: a leg takes a while.
-                let fits = |sent: Duration| self.now + open.ordinary < sent + remembered;
-                open.maybe_ran().all(|(ran, sent)| fits(sent) && group(&ran) == group(&host))
+                let fits = self.repeat_by(open).is_none_or(|by| self.now < by);
+                fits && open.maybe_ran().all(|(ran, _)| group(&ran) == group(&host))
             }
         }
     }
 
+    /// When a repeat must have gone out so that it is dropped; none: nothing may have run, or any time will do. Not
+    /// to the end of the remembered time: a leg takes a while.
+    fn repeat_by(&self, open: &Open) -> Option<Duration> {
+        match self.rows[open.query.product.0].told.effect {
+            Effect::Labelled { remembered, .. } => {
+                let until = open.maybe_ran().map(|(_, sent)| sent + remembered).min()?;
+                Some(until.saturating_sub(open.ordinary))
+            }
+            _ => None,
+        }
+    }
+
     /// Decides the next leg of a query that has none out, or its end: what is given up is answered at once.
     fn plan(&mut self, id: QueryId) {
         let Some(open) = self.open.get(&id) else { return };
@@ -570,8 +588,10 @@
         if open.over || open.begun || busy {
             return;
         }
+        // Guards against a tight limit used up by legs that never went out; but not without end.
         let had = open.legs.len() + open.query.former.len();
-        let allowed = had < self.told.leg_limit && self.now < open.ends;
+        let left = had - open.unbegun < self.told.leg_limit && had < UNBEGUN_LEGS * self.told.leg_limit;
+        let allowed = left && self.now < open.ends;
         let next = allowed.then(|| self.next_leg(open)).flatten();
         let dismissible = match self.rows[open.query.product.0].told.effect {
             Effect::Redoable | Effect::Labelled { scope: LabelScope::All, .. } => true,
@@ -646,6 +666,7 @@
             host,
             source,
             limit: self.leg_limit(open, aim),
+            begin_by: self.repeat_by(open),
             keep: match self.seen(query) > SEEN_AGAIN {
                 _ if !told.cacheable => Keep::Not,
                 true => Keep::Middle,
@@ -740,8 +761,9 @@
         if matches!(leg.present, Present::Over(_)) {
             return;
         }
-        leg.present = Present::Over(end.outcome);
+        leg.present = Present::Over(!never_ran(&end));
         let (plan, from) = (leg.plan, leg.from);
+        open.unbegun += usize::from(!end.begun);
         open.over |= end.over;
         let failed = self.judge(&end, plan, from);
         self.open.entry(end.query).and_modify(|open| {
@@ -791,7 +813,7 @@
         let filled = matches!(end.note, Note::Filled | Note::FilledByOrigin);
         let past = plan.source.is_some() && end.note != Note::Hit;
         let shared = past
-            && (end.outcome == Outcome::TimedOut
+            && (end.outcome == Outcome::TimedOut && end.begun
                 || untold && matches!(end.outcome, Outcome::HostError | Outcome::TurnedAway));
         let (fill, behind) = (f64::from(u8::from(untold || filled)), f64::from(u8::from(past)));
         let (host, source) = (Some(plan.host), plan.source);
@@ -818,7 +840,7 @@
         let origin = source.is_some_and(|id| self.near[Role::Origin as usize].contains(&id));
         let late = match end.outcome {
             Outcome::Succeeded => !in_time,
-            Outcome::TimedOut => true,
+            Outcome::TimedOut => end.begun,
             // A parent that refuses or is down is told apart from what lies behind it, where that is told.
             _ => end.note == Note::OriginFailed || (untold || origin) && source_bad > 0.0,
         };
--- a/crates/rockflow/tests/common/mod.rs
+++ b/crates/rockflow/tests/common/mod.rs
@@ -102,6 +102,8 @@
     size_kb: f64,
     objects: Option<u64>,
     pub chance: oorandom::Rand64,
+    /// By number: how many times the mean is asked of a dispatcher.
+    pub shares: Vec<f64>,
     due: BinaryHeap<Reverse<(Duration, u64)>>,
     events: BTreeMap<u64, (usize, Happens)>,
     next: u64,
@@ -122,6 +124,7 @@
             size_kb,
             objects,
             chance: oorandom::Rand64::new(u128::from(seed)),
+            shares: vec![1.0; dispatchers],
             due: BinaryHeap::new(),
             events: BTreeMap::new(),
             next: 0,
@@ -163,7 +166,7 @@
                     continue;
                 }
                 Happens::Ask => {
-                    self.at(now + self.gap, number, Happens::Ask);
+                    self.at(now + self.gap.div_f64(self.shares[number]), number, Happens::Ask);
                     Event::Asked(self.query(now))
                 }
                 Happens::Ends(end) => {
@@ -226,11 +229,26 @@
             _ => (outcome, took),
         };
         let (host, over) = (leg.host, outcome == Outcome::Succeeded);
-        let end = LegEnd { query, leg: no, host, outcome, took, over, note, fill_wait: Duration::ZERO };
+        let (fill_wait, begun) = (Duration::ZERO, true);
+        let end = LegEnd { query, leg: no, host, outcome, took, over, note, fill_wait, begun };
         self.at(now + took, number, Happens::Ends(end));
     }
 }
 
+/// By how many calls a cold host got more than it bears in any of its spans, chance included: N calls of `work` seconds
+/// each, N by what it gives when the span begins, and two roots of N and two more.
+pub fn excess(sent: &[Duration], started: Duration, weight: f64, work: f64) -> f64 {
+    let mut most = f64::MIN;
+    for (n, at) in sent.iter().enumerate() {
+        let calls = sent[n..].iter().take_while(|later| **later < *at + COLD.span).count() as f64;
+        let age = at.saturating_sub(started).as_secs_f64() / COLD.ramp.as_secs_f64();
+        let share = (COLD.share + (1.0 - COLD.share) * age).min(1.0);
+        let bears = COLD.multiple * share * weight * COLD.span.as_secs_f64() / work;
+        most = most.max(calls - bears - 2.0 * bears.sqrt() - 2.0);
+    }
+    most
+}
+
 /// How full a cold host got at its fullest, beside what it bears: legs of `work` seconds each, from all together.
 pub fn fullest(sent: &[Duration], started: Duration, weight: f64, work: f64) -> f64 {
     let mut fullest: f64 = 0.0;
--- a/crates/rockflow/tests/scenarios.rs
+++ b/crates/rockflow/tests/scenarios.rs
@@ -213,6 +213,7 @@
                 over: line.contains(&"over"),
                 note: named(line, &NOTES).unwrap_or(Note::Untold),
                 fill_wait: Duration::ZERO,
+                begun: !line.contains(&"unbegun"),
             }),
             "left" => Event::ClientLeft(query),
             "ending" => Event::Ending { by: span(get("by").expect("a time")) },
@@ -256,6 +257,10 @@
                     text => leg.oldest == Some(span(text)),
                 });
                 let under = get("under").is_none_or(|text| leg.limit.is_some_and(|limit| limit < span(text)));
+                let by = get("by").is_none_or(|text| match text {
+                    "any" => leg.begin_by.is_none(),
+                    text => leg.begin_by == Some(span(text)),
+                });
                 let renew = get("renew").is_none_or(|text| leg.renew == (text == "yes"));
                 let held = get("held").is_none_or(|text| leg.held_at_source == (text == "yes"));
                 let keep = get("keep").is_none_or(|text| format!("{:?}", leg.keep).to_lowercase() == text);
@@ -264,6 +269,7 @@
                     && from
                     && oldest
                     && under
+                    && by
                     && renew
                     && keep
                     && held
