A board's gap is asked for also before a whole list, and its calls are spaced by the drain's time

Seen: reading the watch line by line. A whole list that came behind a gap was taken at once, though a purge may lie in the gap; the wait before the next call and the call itself lasted up to a second and half a second whatever time a drain is given, so that with a short grace a drain told right after the board's return could be heard past it. At fault: board.rs, take (the exception for whole lists) and run (WAIT, CONNECT as fixed spans). Ruled out, each with a test that held before: an event cut in two by the end of a call, notices told on both calls.

Change: a gap is asked for once in any case; a call, and the wait before it, last a quarter of the drain's time at most.

Measured: the case of the gap failed before (the purge was not heeded); the one of the event cut in two held before and holds.

--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -21,6 +21,8 @@
 const CONNECT: Duration = Duration::from_millis(500);
 /// The wait before the next call: from the first to the second, doubled with each failure, less by chance.
 const WAIT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Part of the time that a drain may take up to which a call, or the wait before it, may last.
+const DRAIN_PART: u32 = 4;
 
 /// What others see of the board.
 #[derive(Debug)]
@@ -57,6 +59,10 @@
         Silence { since: now, limit, said: false }
     }
 
+    pub fn limit(&self) -> Duration {
+        self.limit
+    }
+
     /// How long it was, once it was said.
     pub fn heard(&mut self, now: Duration) -> Option<Duration> {
         let silent = now.saturating_sub(std::mem::replace(&mut self.since, now));
@@ -94,7 +100,8 @@
             let what = self.poll().unwrap_or_else(|what| what);
             info!(what, last = self.last, "board connection over");
             self.watch();
-            wait = if self.last > before || self.address != at { WAIT.0 } else { (2 * wait).min(WAIT.1) };
+            let longest = self.within_drain(WAIT.1);
+            wait = if self.last > before || self.address != at { WAIT.0 } else { (2 * wait).min(longest) };
             let until = self.clock.now() + wait.mul_f64(0.5 + 0.5 * self.chance.rand_float());
             self.mail.wake_by(Wake::Park(coroutine::current()));
             while self.clock.now() < until && !self.moved() {
@@ -104,6 +111,12 @@
         }
     }
 
+    /// Guards against a drain that is told late where little time is left for it: a board that is back is called in
+    /// time to hear of one that began just then.
+    fn within_drain(&self, most: Duration) -> Duration {
+        most.min(self.silence.limit() / DRAIN_PART).max(WAIT.0)
+    }
+
     /// Reads the mail; whether the board has another address now.
     fn moved(&mut self) -> bool {
         let at = self.address;
@@ -120,7 +133,7 @@
     /// its own time limits are not to be had everywhere, and the wait here is bounded by what is heard.
     fn poll(&mut self) -> Result<String, String> {
         let fault = |what: std::io::Error| what.to_string();
-        let stream = TcpStream::connect_timeout(&self.address, CONNECT)
+        let stream = TcpStream::connect_timeout(&self.address, self.within_drain(CONNECT))
             .map_err(|what| format!("not connected: {what}"))?;
         self.mail.wake_by(Wake::Io(stream.waker()));
         let call = board::call(&self.address.to_string(), self.last);
@@ -189,8 +202,8 @@
             if rev < next {
                 continue;
             }
-            let whole = notice.pool.as_ref().is_some_and(|pool| pool.reset);
-            if rev > next && !whole && self.gap_borne != Some(next) {
+            // Also where a whole list comes behind the gap: a purge may be in it.
+            if rev > next && self.gap_borne != Some(next) {
                 // Asked for again once; what is missing after that is not to be had.
                 self.gap_borne = Some(next);
                 return Err(format!("notices {next} to {} are missing", rev - 1));
--- a/crates/rockflow-dispatcher/tests/crossings.rs
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -16,6 +16,8 @@
 #[test_case(include_str!("scenarios/crossings/left-connecting.txt"); "a client leaves while its leg waits for a connection")]
 #[test_case(include_str!("scenarios/crossings/second-absent.txt"); "a second answer under an id that is out again")]
 #[test_case(include_str!("scenarios/crossings/window-passes.txt"); "the window passes while a repeat waits")]
+#[test_case(include_str!("scenarios/crossings/end-in-the-middle.txt"); "an event cut in two, and both calls tell")]
+#[test_case(include_str!("scenarios/crossings/gap-before-a-whole-list.txt"); "a gap before a whole list")]
 #[test_case(include_str!("scenarios/crossings/orphan-answer.txt"); "an answer that nobody waits for goes on")]
 #[test_case(include_str!("scenarios/crossings/late-beside-live.txt"); "a connection that comes up late beside one that lives")]
 fn crossing(text: &str) {
