A client that is gone is seen before its request is taken; a stop leaves no request unread

A client that had asked and gone before it was heard still had a leg sent; one that had sent more behind its request than the buffer holds was not seen to leave at all, so its legs went on till their time was up. At the end of a planned stop a connection that rested was closed over a request that lay unread, which was lost; requests on new connections were still sent on; and the program's exit reset connections with bytes unread, answers included.

Checked and ruled out: SIGHUP and a second SIGTERM during a stop (both heeded or ignored as they should be). At fault: client.rs, serve, which took a head before it had read what followed, fill, which stopped reading with a full buffer, and the arm of Look, which closed at once; service.rs, stop_heeding, which looked only at open queries.

Change: all that is here is read before a request is taken. What follows an open request past the buffer is thrown away, and past 256 kB so is the client. A connection that is to be closed is shut on our side and read on till the client closes; what comes after that is not taken; what was there before it is answered, after a stop's time with 503. The mailbox of a client that is gone is closed, which the last check before a leg's first byte sees. The stop ends once connections have gone, within its time as before.

--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -102,6 +102,11 @@
     seat: Arc<Seat>,
     buffer: Buffer,
     open: Option<Open>,
+    /// Bytes that came behind the request that is open and were thrown away, as there was no room; the connection
+    /// ends with its answer then.
+    overran: usize,
+    /// Nothing more is expected: our side is shut as soon as nothing is here to be answered.
+    parting: bool,
     /// When the request that is coming began; none: nothing of one is here.
     begun: Option<Duration>,
     giving_way: bool,
@@ -133,6 +138,8 @@
         // One head, and the start of the next.
         buffer: Buffer::new(2 * front::MOST_HEAD),
         open: None,
+        overran: 0,
+        parting: false,
         begun: Some(now),
         giving_way: false,
         owing: false,
@@ -148,6 +155,8 @@
         "panicked"
     });
     door.clients().remove(&number);
+    // Before anything is told: from here on nothing goes out for this client.
+    client.seat.mail.close();
     if let Some(open) = client.open.take() {
         debug!(query = open.query.0, ended, "client left");
         door.module.send(Word::Left(open.query));
@@ -164,28 +173,27 @@
             while let Some(word) = self.seat.mail.take() {
                 match word {
                     ClientWord::Answer(query, answer) => moved |= self.answered(query, answer),
-                    ClientWord::Look if self.outlived() => match self.begun.take() {
-                        Some(_) if !self.buffer.filled().is_empty() && !self.last => {
-                            self.answer(Answer::Wrong(408, "Request Timeout"), false);
+                    ClientWord::Look if self.outlived() => {
+                        if self.open.is_some() || self.writing() || self.last {
+                            return "outlived";
                         }
-                        _ => return "outlived",
-                    },
+                        self.parting = true;
+                    }
                     ClientWord::Look => {}
                     ClientWord::GiveWay => self.giving_way = true,
                 }
             }
-            if self.open.is_none() && !self.writing() && !self.last {
-                moved |= self.read_head();
-            }
             match self.write() {
                 Err(_) => return "write failed",
                 Ok(_) if self.last && !self.writing() => moved |= self.linger(),
                 Ok(wrote) => moved |= wrote,
             }
+            // All that is here is read before a request is taken, so that nothing begins for a client that is gone.
             match self.fill() {
                 Some(Ok(0)) => return "end of stream",
                 Some(Ok(_)) => moved = true,
                 Some(Err(_)) => return "read failed",
+                None if self.open.is_none() && !self.writing() && !self.last => moved |= self.next(),
                 None => {}
             }
             if !moved && std::mem::take(&mut self.giving_way) && self.open.is_none() && !self.writing() {
@@ -200,9 +208,32 @@
         "over"
     }
 
+    /// With nothing owed and nothing more to read: takes the next request, or parts if it is time to. Whether
+    /// anything came of it.
+    fn next(&mut self) -> bool {
+        let here = !self.buffer.filled().is_empty();
+        if self.read_head() {
+            return true;
+        }
+        if !std::mem::take(&mut self.parting) {
+            return false;
+        }
+        match here {
+            true if self.closing() => self.answer(Answer::Dismissed { pause: None }, false),
+            true => self.answer(Answer::Wrong(408, "Request Timeout"), false),
+            // What comes from here on was sent across our end of the connection: it is read and not taken.
+            false => (self.last, self.moved) = (true, self.door.clock.now()),
+        }
+        true
+    }
+
+    fn closing(&self) -> bool {
+        self.door.closing.load(Ordering::Relaxed)
+    }
+
     fn answered(&mut self, query: QueryId, answer: Answer) -> bool {
         let Some(open) = self.open.take_if(|open| open.query == query) else { return false };
-        self.answer(answer, open.keep);
+        self.answer(answer, open.keep && self.overran == 0);
         true
     }
 
@@ -236,7 +267,7 @@
             (Some(_), _) => still > 2 * self.door.longest,
             (None, true) => still > self.door.longest,
             (None, false) if self.lingering.is_some() => still > LINGER,
-            (None, false) if self.door.closing.load(Ordering::Relaxed) => true,
+            (None, false) if self.closing() => true,
             (None, false) => {
                 still > IDLE || self.begun.is_some_and(|begun| now.saturating_sub(begun) > TO_COME_WHOLE)
             }
@@ -253,6 +284,16 @@
         if self.lingering.is_some_and(|read| read > LINGER_BYTES) {
             return None;
         }
+        // Guards against a client that leaves unseen behind more than the buffer holds: what follows its request
+        // is thrown away, and past a cap so is the client.
+        if self.open.is_some() && self.buffer.room().is_none() {
+            let full = self.buffer.filled().len();
+            self.buffer.consume(full);
+            self.overran += full;
+            if self.overran > LINGER_BYTES {
+                return Some(Err(ErrorKind::InvalidData.into()));
+            }
+        }
         let room = self.buffer.room()?;
         match self.stream.inner().read(room) {
             Ok(n) => {
@@ -284,6 +325,8 @@
                 debug!(status, why, "request not taken");
                 self.answer(Answer::Wrong(status, why), false);
             }
+            // Guards against work that nobody is left to end: what comes after the planned stop's time is refused.
+            Request::Ask(_) if self.closing() => self.answer(Answer::Dismissed { pause: None }, false),
             Request::Ask(_) if self.door.module.len() >= self.door.module_words => {
                 self.answer(Answer::Dismissed { pause: None }, keep)
             }
@@ -302,6 +345,7 @@
     }
 
     fn answer(&mut self, answer: Answer, keep: bool) {
+        self.parting = false;
         let ending = [&self.door.closing, &self.door.crowded].iter().any(|flag| flag.load(Ordering::Relaxed));
         let keep = keep && !ending;
         self.out = front::encode(&answer, keep);
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -216,11 +216,12 @@
         self.enter(Phase::Finishing);
         self.door.closing.store(true, Ordering::Relaxed);
         self.door.look();
+        // Guards against an answer that is lost to the reset of a connection which ends with bytes unread: those
+        // that have their last answer are left to their clients to close, for as long as they may linger.
         self.pass(&mut between, |service| {
-            service.door.open.load(Ordering::Relaxed) == 0 || service.door.clock.now() >= end
+            let open = service.door.open.load(Ordering::Relaxed) + service.door.connections();
+            open == 0 || service.door.clock.now() >= end
         });
-        // The last answers are in the sockets' hands once their actors have run.
-        std::thread::sleep(LOOK);
         self.enter(Phase::Over);
     }
 
--- a/crates/rockflow-dispatcher/tests/crossings.rs
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -14,12 +14,17 @@
 #[test_case(include_str!("scenarios/crossings/purge-connecting.txt"); "a purge while a leg waits for its connection")]
 #[test_case(include_str!("scenarios/crossings/purge-of-a-group.txt"); "a group's purge while a leg waits for its connection")]
 #[test_case(include_str!("scenarios/crossings/left-connecting.txt"); "a client leaves while its leg waits for a connection")]
+#[test_case(include_str!("scenarios/crossings/left-before.txt"); "a client leaves before it is heard")]
+#[test_case(include_str!("scenarios/crossings/left-behind-much.txt"); "a client leaves behind more than is held")]
 #[test_case(include_str!("scenarios/crossings/second-absent.txt"); "a second answer under an id that is out again")]
 #[test_case(include_str!("scenarios/crossings/window-passes.txt"); "the window passes while a repeat waits")]
+#[test_case(include_str!("scenarios/crossings/stop-rests.txt"); "a stop beside clients that rest and clients that come")]
+#[test_case(include_str!("scenarios/crossings/stop-crosses.txt"); "a request in the moment of its connection's close")]
 #[test_case(include_str!("scenarios/crossings/end-in-the-middle.txt"); "an event cut in two, and both calls tell")]
 #[test_case(include_str!("scenarios/crossings/gap-before-a-whole-list.txt"); "a gap before a whole list")]
 #[test_case(include_str!("scenarios/crossings/orphan-answer.txt"); "an answer that nobody waits for goes on")]
 #[test_case(include_str!("scenarios/crossings/late-beside-live.txt"); "a connection that comes up late beside one that lives")]
+#[test_case(include_str!("scenarios/crossings/idle-fill-the-seats.txt"); "idle clients fill the seats while discovery is down")]
 fn crossing(text: &str) {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     common::play(text);
