--- a/crates/rockflow-dispatcher/src/lib.rs
+++ b/crates/rockflow-dispatcher/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod mailbox;
 pub mod module;
 pub mod pass;
-mod rest;
+pub mod rest;
 pub mod service;
 pub mod told;
 pub mod wires;
