The largest of a product are not starved where much is asked for

Checked and ruled out: gates (none shut there), fills (three in four are held), time limits. At fault: rules.rs, pick_cache, which bounds the load of a cache by the time that the query itself takes, so that in a lasting crowd the small ones alone get in.

Change: asked and served are counted by product, of all and of those from twice the mean size on, as fading sums; while the large are answered under 0.6 as often they are taken on the terms of one of mean size.

--- a/crates/rockflow/src/rules.rs
+++ b/crates/rockflow/src/rules.rs
@@ -35,6 +35,10 @@
 const SLOW_PRIOR: f64 = 0.2;
 /// Part of the time to the due time that a crowded cache may be expected to take.
 const CROWD_PART: f64 = 0.8;
+/// A query is large from so many times its product's mean on. The large are starved once their answered share is
+/// under this part of the product's.
+const LARGE_FROM: f64 = 2.0;
+const LARGE_SHARE: f64 = 0.6;
 /// Share of late answers at which fills are scarce; their number then starts at this part of those out. A
 /// round of late ones takes the next part of it; the least that is let out is a share of the fills asked for.
 const SCARCE_SHARE: f64 = 0.15;
@@ -83,6 +87,9 @@
     told: Product,
     /// How many, their sum and the sum of their squares.
     sending: [Decaying; 3],
+    /// Asked and served: of all, and of the large.
+    all: [Decaying; 2],
+    large: [Decaying; 2],
 }
 
 #[derive(Debug)]
@@ -264,7 +271,12 @@
         let longest = told.products.iter().map(|p| p.outer_limit).max().unwrap_or(Duration::from_secs(1));
         let popularity = Decaying::over(longest.mul_f64(POPULARITY_MEMORY));
         let health = Decaying::over(longest);
-        let row = |told: &Product| Row { told: told.clone(), sending: [popularity; 3] };
+        let row = |told: &Product| Row {
+            told: told.clone(),
+            sending: [popularity; 3],
+            all: [popularity; 2],
+            large: [popularity; 2],
+        };
         Dispatcher {
             rows: told.products.iter().map(row).collect(),
             told,
@@ -421,6 +433,24 @@
         sums.zip([1.0, seconds, seconds * seconds]).for_each(|(sum, amount)| sum.add(self.now, amount));
     }
 
+    /// Books a query as asked (0) or served (1).
+    fn book(&mut self, product: ProductId, work: f64, what: usize) {
+        let large = work >= LARGE_FROM * self.sending(product).0;
+        let row = &mut self.rows[product.0];
+        row.all[what].add(self.now, 1.0);
+        row.large[what].add(self.now, f64::from(u8::from(large)));
+    }
+
+    /// Guards against the largest of a product being turned away whenever much is asked for, as they would come late:
+    /// while they are answered far less often than the rest they are taken on the terms of a mean one. It also holds
+    /// where a link grew slow. Harm: some come late, and crowd others.
+    fn starved(&self, product: ProductId) -> bool {
+        let row = &self.rows[product.0];
+        let [[asked, served], [large, answered]] =
+            [row.all, row.large].map(|sums| sums.map(|sum| sum.read(self.now)));
+        large >= SICK_FROM && answered * asked < LARGE_SHARE * served * large
+    }
+
     /// Share of its link that a host can surely give now; told figures only.
     fn share(&self, host: &Host) -> f64 {
         let started = host.listing.started.max(host.restarted).filter(|_| host.listing.role != Role::Origin);
@@ -518,6 +548,7 @@
         if sized {
             self.learn_sending(product, work);
         }
+        self.book(product, work, 0);
         self.traffic.add(now, 1.0);
         if self.seen.len() >= self.told.most_held {
             self.seen.retain(|_, seen| seen.read(now) > 1.0);
@@ -712,6 +743,7 @@
         // A sending time learned from answers grows with crowding: half the due time for an untold size.
         let due = told.due.as_secs_f64();
         let work = if query.size_kb > 0.0 { open.work } else { due * LEG_FIXED };
+        let work = if self.starved(query.product) { work.min(mean) } else { work };
         let most = |part: f64| CROWD_PART * (told.stretch + part * due / work.max(1e-3));
         first.filter(|id| self.load(*id) <= most(1.0)).map(|id| (id, self.load(id) > most(LEG_FIXED)))
     }
@@ -765,6 +797,10 @@
         let (plan, from) = (leg.plan, leg.from);
         open.unbegun += usize::from(!end.begun);
         open.over |= end.over;
+        let (product, work) = (open.query.product, open.work);
+        if end.outcome == Outcome::Succeeded && end.over {
+            self.book(product, work, 1);
+        }
         let failed = self.judge(&end, plan, from);
         self.open.entry(end.query).and_modify(|open| {
             open.failed.extend(failed);
--- a/crates/rockflow/tests/common/mod.rs
+++ b/crates/rockflow/tests/common/mod.rs
@@ -60,6 +60,7 @@
     pub at: Duration,
     pub number: usize,
     pub object: ObjectId,
+    pub size_kb: f64,
     pub leg: Leg,
 }
 
@@ -74,6 +75,7 @@
 #[derive(Clone, Debug)]
 pub struct Asked {
     pub at: Duration,
+    pub size_kb: f64,
     pub finals: Vec<(Duration, Final)>,
 }
 
@@ -102,6 +104,8 @@
     size_kb: f64,
     objects: Option<u64>,
     pub chance: oorandom::Rand64,
+    /// Sizes over the mean, one as likely as the other; none: all are of the mean.
+    pub sizes: Vec<f64>,
     /// By number: how many times the mean is asked of a dispatcher.
     pub shares: Vec<f64>,
     due: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -124,6 +128,7 @@
             size_kb,
             objects,
             chance: oorandom::Rand64::new(u128::from(seed)),
+            sizes: Vec::new(),
             shares: vec![1.0; dispatchers],
             due: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -192,19 +197,15 @@
         let id = QueryId(self.asked.len() as u64);
         let any = self.chance.rand_u64();
         let object = ObjectId(self.objects.map_or(any, |objects| any % objects));
-        self.asked.insert(id, Asked { at: now, finals: Vec::new() });
+        let size = match self.sizes.len() as u64 {
+            0 => 1.0,
+            sizes => self.sizes[self.chance.rand_range(0..sizes) as usize],
+        };
+        let size_kb = size * self.size_kb;
+        self.asked.insert(id, Asked { at: now, size_kb, finals: Vec::new() });
         self.open.insert(id, (object, 0));
         let (product, group) = (ProductId(0), GroupId(0));
-        Query {
-            id,
-            product,
-            object,
-            part: 0,
-            group,
-            time_left: LONGEST,
-            size_kb: self.size_kb,
-            former: Vec::new(),
-        }
+        Query { id, product, object, part: 0, group, time_left: LONGEST, size_kb, former: Vec::new() }
     }
 
     fn end(&mut self, query: QueryId, now: Duration, how: Final) {
@@ -220,7 +221,8 @@
         answer: &mut impl FnMut(&Sent) -> Answer,
     ) {
         let (object, legs) = self.open.get_mut(&query).expect("a query that was asked");
-        let sent = Sent { at: now, number, object: *object, leg };
+        let size_kb = self.asked[&query].size_kb;
+        let sent = Sent { at: now, number, object: *object, size_kb, leg };
         let no = LegNo(std::mem::replace(legs, *legs + 1));
         self.sent.push(sent);
         let (outcome, note, took) = answer(&sent);
