--- a/crates/rockflow-dispatcher/tests/common/mod.rs
+++ b/crates/rockflow-dispatcher/tests/common/mod.rs
@@ -5,9 +5,9 @@
 //!     start [unknown-product] [sockets=N] [/PATH=JSON]   the dispatcher, with a product that the decisions don't know,
 //!                                       and other values in its configuration
 //!     freeze | thaw                     nothing of the dispatcher runs in between, but for a planned stop's own thread
-//!     until hosts|clients|held N | until rev N | until finishing   so many connections stand, or are on their way;
+//!     until hosts|clients|held N | until rev N | until leaving|finishing   so many connections stand, or are on their way;
 //!                                       the board's notice has been heard; a planned stop takes nothing more
-//!     crowd N                           so many clients connect and say nothing
+//!     crowd N | burst N                 so many clients connect and say nothing; ask, and are gone
 //!     a asks OBJECT id=HEX [patience=MS] [Header:value]   a client asks, connecting first if it has to
 //!     a sends TEXT                      raw, with \r \n
 //!     a gets STATUS WORD...             one answer, holding all words
@@ -20,9 +20,14 @@
 //!     c takes [as NAME]                 host c accepts a connection, which is c's, or a party of its own, from then on
 //!     c gets WORD...                    a line holding all words but those after `!`, a field below N with
 //!                                       `FIELD<N`; its id is remembered
+//!     c skips WORD...                   lines up to one holding these words are read and passed over
 //!     c trails WORD...                  the same, and it comes a moment after the line that was got before
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
+//!     nodelay N                         so many of the dispatcher's sockets, at least, hold no small write back
+//!     board takes LAST [by MS]          in that time
+//!     board accepts                     takes the call and says nothing at all
+//!     board down | board up             nobody listens there; somebody does again
 //!     board takes LAST | board says JSON | board closes     likewise board2 once it is the board; in JSON `@NAME` is
 //!                                       the address of a host, `@now` the Unix time in milliseconds
 //!     reload board2                     a configuration that names another board
@@ -39,6 +44,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Once;
 use std::thread::JoinHandle;
@@ -46,6 +52,8 @@
 
 const PATIENCE: Duration = Duration::from_secs(5);
 static SET_UP: Once = Once::new();
+/// How often a thread of a dispatcher has asked for no delay of small writes.
+static NO_DELAY: AtomicUsize = AtomicUsize::new(0);
 
 thread_local! {
     /// A thread of the play itself, which may set its sockets' time limits.
@@ -70,11 +78,16 @@
         *libc::__errno_location() = libc::EBADF;
         return -1;
     }
+    if level == libc::IPPROTO_TCP && name == libc::TCP_NODELAY && !OURS.get() {
+        NO_DELAY.fetch_add(1, Ordering::Relaxed);
+    }
     libc::syscall(libc::SYS_setsockopt, socket, level, name, value, length) as libc::c_int
 }
 
 struct Party {
     listener: Option<TcpListener>,
+    /// Where it listened last.
+    address: Option<SocketAddr>,
     /// Connections that fill its queue.
     fillers: Vec<socket2::Socket>,
     stream: Option<BufReader<TcpStream>>,
@@ -87,9 +100,9 @@
         self.stream = Some(BufReader::new(stream));
     }
 
-    fn accept(&mut self) -> TcpStream {
+    fn accept(&mut self, by: Duration) -> TcpStream {
         let listener = self.listener.as_ref().expect("a listener");
-        socket2::SockRef::from(listener).set_read_timeout(Some(PATIENCE)).unwrap();
+        socket2::SockRef::from(listener).set_read_timeout(Some(by)).unwrap();
         listener.accept().expect("a connection in time").0
     }
 
@@ -187,7 +200,8 @@
 
 impl Play {
     fn party(&mut self, name: &str) -> &mut Party {
-        let fresh = || Party { listener: None, fillers: Vec::new(), stream: None, id: String::new() };
+        let fresh =
+            || Party { listener: None, address: None, fillers: Vec::new(), stream: None, id: String::new() };
         self.parties.entry(name.to_string()).or_insert_with(fresh)
     }
 
@@ -255,6 +269,7 @@
         let end = Instant::now() + PATIENCE;
         loop {
             let there = match what {
+                "leaving" => link.phase() == Phase::Leaving,
                 "finishing" => link.phase() == Phase::Finishing,
                 "rev" => link.board().1 >= count as u64,
                 _ => link.fills().iter().any(|(name, _, fill)| *name == what && *fill == count),
@@ -336,6 +351,15 @@
                 let crowd = (0..count.parse().unwrap()).map(|_| TcpStream::connect(address).unwrap());
                 self.crowd = crowd.collect();
             }
+            ("burst", count) => {
+                let address = self.address.expect("started");
+                for n in 0..count.parse::<u64>().unwrap() {
+                    let ask =
+                        format!("GET /invoke/pages/{n:x} HTTP/1.1\r\nX-Call-Id: {n:016x}\r\nX-Group: 1\r\n");
+                    let mut client = TcpStream::connect(address).unwrap();
+                    client.write_all(format!("{ask}X-Patience-Ms: 4000\r\n\r\n").as_bytes()).unwrap();
+                }
+            }
             ("freeze", _) => self.freeze(),
             ("thaw", _) => self.frozen = None,
             ("until", what) => self.until(what, rest.first().map_or(0, |count| count.parse().unwrap())),
@@ -367,9 +391,27 @@
                     None => self.reloads.as_ref().expect("stopping").send(told).unwrap(),
                 }
             }
+            ("nodelay", least) => {
+                let set = NO_DELAY.load(Ordering::Relaxed);
+                assert!(set >= least.parse().unwrap(), "{set}");
+            }
+            ("board" | "board2", "accepts") => {
+                let stream = self.party(name).accept(PATIENCE);
+                self.party(name).connect(stream);
+            }
+            ("board" | "board2", "down") => {
+                let board = self.party(name);
+                board.address = board.listener.take().map(|listener| listener.local_addr().unwrap());
+                board.stream = None;
+            }
+            ("board" | "board2", "up") => {
+                let board = self.party(name);
+                board.listener = Some(TcpListener::bind(board.address.unwrap()).unwrap());
+            }
             ("board" | "board2", "takes") => {
+                let by = rest.get(2).map_or(PATIENCE, |ms| Duration::from_millis(ms.parse().unwrap()));
                 let board = self.party(name);
-                let stream = board.accept();
+                let stream = board.accept(by);
                 board.connect(stream);
                 let head = board.answer();
                 assert!(head.contains(&format!("Last-Event-ID: {}\r\n", rest[0])), "{head}");
@@ -396,7 +438,7 @@
                 std::thread::spawn(move || while stream.write_all(&[b'x'; 65536]).is_ok() {});
             }
             (_, "takes") => {
-                let stream = self.party(name).accept();
+                let stream = self.party(name).accept(PATIENCE);
                 self.party(rest.last().unwrap_or(&name)).connect(stream);
             }
             (_, "gets") if rest[0].parse::<u16>().is_ok() => {
@@ -410,6 +452,15 @@
                 self.play(&format!("{name} gets {}", rest.join(" ")));
                 assert!(self.got - before > Duration::from_millis(1), "{:?}", self.got - before);
             }
+            (_, "skips") => loop {
+                let got = self.party(name).line();
+                assert!(!got.is_empty(), "ended before {line:?}");
+                if rest.iter().all(|word| got.contains(word)) {
+                    let party = self.party(name);
+                    party.id = got.split(' ').nth(1).unwrap().to_string();
+                    return;
+                }
+            },
             (_, "gets") => {
                 let party = self.party(name);
                 let got = party.line();
--- a/crates/rockflow-dispatcher/tests/crossings.rs
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -25,6 +25,15 @@
 #[test_case(include_str!("scenarios/crossings/orphan-answer.txt"); "an answer that nobody waits for goes on")]
 #[test_case(include_str!("scenarios/crossings/late-beside-live.txt"); "a connection that comes up late beside one that lives")]
 #[test_case(include_str!("scenarios/crossings/idle-fill-the-seats.txt"); "idle clients fill the seats while discovery is down")]
+#[test_case(include_str!("scenarios/crossings/stop-between-attempts.txt"); "a stop between two attempts, and beside half an answer")]
+#[test_case(include_str!("scenarios/crossings/left-as-it-fails.txt"); "a client leaves as its attempt fails")]
+#[test_case(include_str!("scenarios/crossings/cancel-meets-answer.txt"); "a call-off meets its answer")]
+#[test_case(include_str!("scenarios/crossings/endless.txt"); "answers without end")]
+#[test_case(include_str!("scenarios/crossings/silent-at-first.txt"); "a board that is silent from the start")]
+#[test_case(include_str!("scenarios/crossings/down-and-back.txt"); "a drain right after the return of discovery")]
+#[test_case(include_str!("scenarios/crossings/drain-in-the-pool.txt"); "a drain beside a connection that rests")]
+#[test_case(include_str!("scenarios/crossings/leave-in-a-burst.txt"); "many clients leave at once")]
+#[test_case(include_str!("scenarios/crossings/no-delay.txt"); "small writes are not held back")]
 fn crossing(text: &str) {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     common::play(text);
