The dispatcher's waits, messages and connections take the field's names

No behaviour changed. One more test in line.rs: a connection that has rested for most of the told time takes nothing.

--- a/crates/rockflow-dispatcher/src/board.rs
+++ b/crates/rockflow-dispatcher/src/board.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
-use crate::rest;
-use crate::words::{BoardWord, ListWord};
+use crate::messages::{BoardWord, ListWord};
+use crate::timer;
 use may::coroutine;
 use may::io::WaitIo;
 use may::net::TcpStream;
@@ -105,7 +105,7 @@
             let until = self.clock.now() + wait.mul_f64(0.5 + 0.5 * self.chance.rand_float());
             self.mail.wake_by(Wake::Park(coroutine::current()));
             while self.clock.now() < until && !self.moved() {
-                rest::park(WAIT.0);
+                timer::park(WAIT.0);
                 self.watch();
             }
         }
--- a/crates/rockflow-dispatcher/src/client.rs
+++ b/crates/rockflow-dispatcher/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
-use crate::words::{ClientWord, Word};
+use crate::messages::{ClientWord, Word};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::interface::QueryId;
--- a/crates/rockflow-dispatcher/src/host.rs
+++ b/crates/rockflow-dispatcher/src/host.rs
@@ -2,9 +2,9 @@
 
 use crate::line;
 use crate::mailbox::{Mailbox, Wake};
-use crate::rest;
-use crate::wires::{Line, Queue, Wires};
-use crate::words::{Fallen, LineWord, Order, Wanted, Word};
+use crate::messages::{Fallen, LineWord, Order, Wanted, Word};
+use crate::pool::{ConnectionPool, Line, Queue};
+use crate::timer;
 use may::coroutine;
 use rockflow::interface::{Outcome, QueryId};
 use std::cmp::Reverse;
@@ -26,7 +26,7 @@
 pub struct Host {
     pub name: String,
     pub address: SocketAddr,
-    pub wires: Arc<Wires>,
+    pub pool: Arc<ConnectionPool>,
     pub mail: Arc<Mailbox<Order>>,
 }
 
@@ -46,12 +46,12 @@
                 Order::Want(wanted) => {
                     let wait = given_up
                         .get(&wanted.key.0)
-                        .map_or(Duration::ZERO, |at| (*at + CROSSING).saturating_sub(self.wires.clock.now()));
+                        .map_or(Duration::ZERO, |at| (*at + CROSSING).saturating_sub(self.pool.clock.now()));
                     if wait > Duration::ZERO {
                         let (mail, key) = (self.mail.clone(), wanted.key);
                         kept_back.insert(key, wanted);
                         may::go!(move || {
-                            rest::sleep(wait);
+                            timer::sleep(wait);
                             mail.send(Order::Release(key));
                         });
                         continue;
@@ -68,10 +68,10 @@
                     .or_else(|| self.open(&mut lines, &queue))
                 {
                     Some(on) => on.send(LineWord::Probe { tag, load }),
-                    None => self.wires.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected }),
+                    None => self.pool.module.send(Word::ProbeFell { tag, outcome: Outcome::NotConnected }),
                 },
                 Order::NeverMind { key, unheard } => {
-                    let now = self.wires.clock.now();
+                    let now = self.pool.clock.now();
                     given_up.retain(|_, at| now < *at + CROSSING);
                     given_up.insert(key.0, now);
                     kept_back.remove(&key);
@@ -103,16 +103,16 @@
     }
 
     fn fell(&self, wanted: &Wanted, outcome: Outcome) {
-        self.wires.module.send(Word::Fell { key: wanted.key, outcome });
+        self.pool.module.send(Word::Fell { key: wanted.key, outcome });
     }
 
     fn want(&self, wanted: Wanted, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) {
         // No connection is opened for what may not go out on it any more.
-        if !wanted.pass.holds(self.wires.clock.now()) {
+        if !wanted.pass.holds(self.pool.clock.now()) {
             return self.fell(&wanted, Outcome::NotSent);
         }
         match self.line_for(&wanted.id, lines) {
-            Some(on) => on.want(wanted, &self.wires),
+            Some(on) => on.want(wanted, &self.pool),
             None => {
                 queue.push(wanted);
                 self.serve_queue(lines, queue);
@@ -137,7 +137,7 @@
         if legs.is_empty() {
             return;
         }
-        let module = self.wires.module.clone();
+        let module = self.pool.module.clone();
         let tell = move |outcome| legs.into_iter().for_each(|key| module.send(Word::Fell { key, outcome }));
         if let Some(then) = unless_heard {
             let lives = lines.iter().any(|line| line.heard_since(then));
@@ -153,7 +153,7 @@
         may::go!(move || {
             let mut lives = false;
             for _ in 0..LOOKS {
-                rest::sleep(OTHERS_FOLLOW);
+                timer::sleep(OTHERS_FOLLOW);
                 lives = others.iter().any(|line| line.is_up());
                 if lives || others.iter().all(|line| line.is_over()) {
                     break;
@@ -166,21 +166,21 @@
     /// The line for a leg, if one is free. What a peer spoils or leaves unanswered takes its whole connection with it, so a leg
     /// gets one to itself as long as there are plenty; the one used last, so that what is too many ages.
     fn line_for(&self, id: &str, lines: &[Arc<Line>]) -> Option<Arc<Line>> {
-        let fits = lines.iter().filter(|line| line.takes(id, &self.wires));
+        let fits = lines.iter().filter(|line| line.takes(id, &self.pool));
         let best = fits.min_by_key(|line| (line.out(), Reverse(line.used()))).cloned();
-        let many = self.wires.lines().len() as f64 >= OWN_PART * self.wires.most_lines as f64;
+        let many = self.pool.lines().len() as f64 >= OWN_PART * self.pool.most_lines as f64;
         best.filter(|line| line.out() == 0 || many)
     }
 
     /// Another line; none past the cap. Those that will take nothing more close when their legs are over.
     fn open(&self, lines: &mut Vec<Arc<Line>>, queue: &Arc<Queue>) -> Option<Arc<Line>> {
-        if self.wires.lines().len() >= self.wires.most_lines {
-            debug!(host = self.name, cap = self.wires.most_lines, "no connection left for hosts");
+        if self.pool.lines().len() >= self.pool.most_lines {
+            debug!(host = self.name, cap = self.pool.most_lines, "no connection left for hosts");
             return None;
         }
-        lines.iter().filter(|line| line.is_spent(&self.wires)).for_each(|line| line.send(LineWord::Retire));
-        let (wires, mail) = (self.wires.clone(), self.mail.clone());
-        let line = line::start(self.name.clone(), self.address, wires, mail, queue.clone());
+        lines.iter().filter(|line| line.is_spent(&self.pool)).for_each(|line| line.send(LineWord::Retire));
+        let (pool, mail) = (self.pool.clone(), self.mail.clone());
+        let line = line::start(self.name.clone(), self.address, pool, mail, queue.clone());
         lines.push(line.clone());
         Some(line)
     }
--- a/crates/rockflow-dispatcher/src/line.rs
+++ b/crates/rockflow-dispatcher/src/line.rs
@@ -1,8 +1,8 @@
 //! The actor of one connection to a host: the legs that are out on it, and what becomes of them.
 
 use crate::mailbox::{Mailbox, Wake};
-use crate::wires::{lock, Line, Queue, Wires};
-use crate::words::{Fallen, LegKey, LineWord, Order, Wanted, Word};
+use crate::messages::{Fallen, LegKey, LineWord, Order, Wanted, Word};
+use crate::pool::{lock, ConnectionPool, Line, Queue};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::interface::Outcome;
@@ -23,7 +23,7 @@
 pub fn start(
     name: String,
     address: SocketAddr,
-    wires: Arc<Wires>,
+    pool: Arc<ConnectionPool>,
     host: Arc<Mailbox<Order>>,
     queue: Arc<Queue>,
 ) -> Arc<Line> {
@@ -34,16 +34,16 @@
         midway: AtomicBool::new(false),
         spent: AtomicBool::new(false),
         out: AtomicUsize::new(0),
-        used: Mutex::new(wires.clock.now()),
+        used: Mutex::new(pool.clock.now()),
         heard: Mutex::new(Duration::ZERO),
         carried: Mutex::new(BTreeMap::new()),
     });
-    let number = wires.next_line.fetch_add(1, Ordering::Relaxed);
-    wires.lines().insert(number, line.clone());
+    let number = pool.next_line.fetch_add(1, Ordering::Relaxed);
+    pool.lines().insert(number, line.clone());
     let shared = line.clone();
     may::go!(move || {
-        let (fallen, again) = run(&name, address, &wires, &shared, &queue);
-        wires.lines().remove(&number);
+        let (fallen, again) = run(&name, address, &pool, &shared, &queue);
+        pool.lines().remove(&number);
         host.send(Order::LineOver { fallen, again, failed: !shared.up.load(Ordering::Relaxed) });
     });
     line
@@ -54,7 +54,7 @@
 fn run(
     name: &str,
     address: SocketAddr,
-    wires: &Wires,
+    pool: &ConnectionPool,
     shared: &Line,
     queue: &Queue,
 ) -> (Vec<Fallen>, Vec<Wanted>) {
@@ -65,8 +65,8 @@
         if_gone: Outcome::NotConnected,
         if_it_lives: Outcome::NotSent,
     };
-    let began = wires.clock.now();
-    match TcpStream::connect_timeout(&address, wires.connect_limit) {
+    let began = pool.clock.now();
+    match TcpStream::connect_timeout(&address, pool.connect_limit) {
         Ok(stream) => {
             debug!(host = name, "connected");
             let _ = stream.set_nodelay(true);
@@ -74,7 +74,7 @@
             shared.up.store(true, Ordering::Relaxed);
             let mut wire = Wire {
                 name,
-                wires,
+                pool,
                 shared,
                 queue,
                 stream,
@@ -93,7 +93,7 @@
                 error!(host = name, "actor panicked");
             }
             shared.over.store(true, Ordering::Relaxed);
-            wires.held.fetch_sub(wire.held, Ordering::Relaxed);
+            pool.held.fetch_sub(wire.held, Ordering::Relaxed);
             fallen.push(Fallen {
                 legs: wire.legs.into_values().map(|leg| leg.key).collect(),
                 unless_heard: None,
@@ -102,7 +102,7 @@
             });
             unbegun.extend(wire.waiting);
             for tag in wire.probes {
-                wires.module.send(Word::ProbeFell { tag, outcome: Outcome::Broken });
+                pool.module.send(Word::ProbeFell { tag, outcome: Outcome::Broken });
             }
         }
         Err(what) => {
@@ -117,7 +117,7 @@
         match word {
             LineWord::Want(wanted) => unbegun.push(wanted),
             LineWord::Probe { tag, .. } => {
-                wires.module.send(Word::ProbeFell { tag, outcome: unsent.if_gone });
+                pool.module.send(Word::ProbeFell { tag, outcome: unsent.if_gone });
             }
             _ => {}
         }
@@ -137,7 +137,7 @@
 
 struct Wire<'a> {
     name: &'a str,
-    wires: &'a Wires,
+    pool: &'a ConnectionPool,
     shared: &'a Line,
     queue: &'a Queue,
     stream: TcpStream,
@@ -148,7 +148,7 @@
     legs: BTreeMap<String, LegOut>,
     probes: BTreeSet<u64>,
     buffer: Buffer,
-    /// The part of `Wires::held` that is the buffer's.
+    /// The part of `ConnectionPool::held` that is the buffer's.
     held: usize,
     /// When anything last came, and when the answer that is coming began.
     heard: Duration,
@@ -190,11 +190,11 @@
     /// Takes what has waited longest for a connection, once nothing else is out or under way on this one.
     fn pull(&mut self) -> bool {
         let free = self.legs.is_empty() && self.waiting.is_empty() && !self.shared.is_midway();
-        if !free || self.retired || self.queue.is_empty() || self.shared.is_spent(self.wires) {
+        if !free || self.retired || self.queue.is_empty() || self.shared.is_spent(self.pool) {
             return false;
         }
         let Some(wanted) = self.queue.pull(self.shared) else { return false };
-        self.shared.carry(&wanted.id, self.wires);
+        self.shared.carry(&wanted.id, self.pool);
         self.carry(LineWord::Want(wanted));
         true
     }
@@ -209,7 +209,7 @@
     }
 
     fn carry(&mut self, word: LineWord) {
-        let now = self.wires.clock.now();
+        let now = self.pool.clock.now();
         match word {
             LineWord::Want(wanted) => {
                 self.waiting.push_back(wanted);
@@ -225,7 +225,7 @@
                 self.legs.remove(&id);
                 self.out.extend_from_slice(&hostline::never_mind(&id));
                 let unanswered = lock(&self.shared.carried).values().filter(|id| !id.answered).count();
-                let many = unanswered >= MOST_UNANSWERED * self.wires.most_streams;
+                let many = unanswered >= MOST_UNANSWERED * self.pool.most_streams;
                 // Guards against a machine that vanished or was cut off: the connection would stay open and
                 // silent, and after a cut it recovers late. A new one shows at once whether anyone is there. And
                 // against one on which this leg alone is never answered: it is of no further use then.
@@ -270,9 +270,9 @@
 
     /// Writes the first bytes of a leg, if it still may begin; false: the host takes nothing now.
     fn begin(&mut self, wanted: Wanted) -> Result<bool, String> {
-        let now = self.wires.clock.now();
+        let now = self.pool.clock.now();
         if !wanted.pass.begin(now) {
-            self.wires.module.send(Word::Fell { key: wanted.key, outcome: Outcome::NotSent });
+            self.pool.module.send(Word::Fell { key: wanted.key, outcome: Outcome::NotSent });
             return Ok(true);
         }
         match self.stream.inner().write(&wanted.line) {
@@ -296,7 +296,7 @@
 
     fn within_cap(&self, wrote: bool) -> Result<bool, String> {
         let held = self.out.len() + self.waiting.iter().map(|wanted| wanted.line.len()).sum::<usize>();
-        if held > self.wires.line_out {
+        if held > self.pool.line_out {
             return Err("a host that reads nothing".to_string());
         }
         Ok(wrote)
@@ -305,7 +305,7 @@
     /// Guards against an answer that stops short while its connection stays open, and against a line that comes
     /// in crumbs without end: nothing else would get through behind it.
     fn standstill(&self) -> Option<&'static str> {
-        let (now, limit) = (self.wires.clock.now(), self.wires.connect_limit);
+        let (now, limit) = (self.pool.clock.now(), self.pool.connect_limit);
         let line_here = self.buffer.filled().contains(&b'\n');
         let since = if line_here { self.began.map(|_| self.heard) } else { self.began };
         since.filter(|since| now.saturating_sub(*since) > limit).map(|_| "an answer that stands still")
@@ -330,12 +330,12 @@
             Err(what) if what.kind() == ErrorKind::Interrupted => return Ok(true),
             Err(what) => return self.broken(what.to_string()),
         }
-        self.heard = self.wires.clock.now();
+        self.heard = self.pool.clock.now();
         *lock(&self.shared.heard) = self.heard;
         let was = std::mem::replace(&mut self.held, self.buffer.size());
-        let held = self.wires.held.fetch_add(self.held, Ordering::Relaxed) + self.held;
-        self.wires.held.fetch_sub(was, Ordering::Relaxed);
-        if self.held > was && held - was > self.wires.most_held {
+        let held = self.pool.held.fetch_add(self.held, Ordering::Relaxed) + self.held;
+        self.pool.held.fetch_sub(was, Ordering::Relaxed);
+        if self.held > was && held - was > self.pool.most_held {
             return Err("no memory left for an answer".to_string());
         }
         while let Some((length, answer)) = hostline::decode(self.buffer.filled())? {
@@ -346,13 +346,13 @@
                 carried.answered = true;
             }
             if let Some(tag) = tag.filter(|tag| self.probes.remove(tag)) {
-                self.wires.module.send(Word::Probed { tag, answer });
+                self.pool.module.send(Word::Probed { tag, answer });
             } else if let Some(leg) = self.legs.get(&answer.id).filter(|_| !probe) {
                 if answer.word == hostline::Word::Unchanged && !leg.seen {
                     return Err("unchanged, where no copy was named".to_string());
                 }
                 let key = self.legs.remove(&answer.id).expect("found above").key;
-                self.wires.module.send(Word::Answered { key, answer });
+                self.pool.module.send(Word::Answered { key, answer });
             } else {
                 // Framed well and nobody's: an answer to what is over, a second one, or one ahead. It costs
                 // nobody anything.
--- a/crates/rockflow-dispatcher/src/link.rs
+++ b/crates/rockflow-dispatcher/src/link.rs
@@ -6,8 +6,8 @@
 use crate::client::Door;
 use crate::clock::Clock;
 use crate::mailbox::Mailbox;
-use crate::wires::Wires;
-use crate::words::{ListWord, Phase, Survey};
+use crate::messages::{ListWord, Phase, Survey};
+use crate::pool::ConnectionPool;
 use rockflow::interface::Product;
 use rockflow_roster::Marks;
 use std::net::SocketAddr;
@@ -28,7 +28,7 @@
     pub locations: Vec<String>,
     pub(crate) list: Arc<Mailbox<ListWord>>,
     pub(crate) door: Arc<Door>,
-    pub(crate) wires: Arc<Wires>,
+    pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) board: Arc<Seen>,
     pub(crate) phase: Arc<AtomicU8>,
 }
@@ -66,10 +66,10 @@
 
     /// What is held now, beside each cap: its name, the cap, the fill.
     pub fn fills(&self) -> Vec<(&'static str, usize, usize)> {
-        let held = self.wires.held.load(Ordering::Relaxed);
+        let held = self.pool.held.load(Ordering::Relaxed);
         vec![
             ("clients", self.caps.clients, self.door.connections()),
-            ("hosts", self.caps.hosts, self.wires.lines().len()),
+            ("hosts", self.caps.hosts, self.pool.lines().len()),
             ("held", self.caps.held, held),
             ("module-words", self.caps.module_words, self.door.module.len()),
         ]
--- a/crates/rockflow-dispatcher/src/list.rs
+++ b/crates/rockflow-dispatcher/src/list.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::Clock;
 use crate::mailbox::{Mailbox, Wake};
-use crate::rest;
-use crate::words::{id_of, Done, Entry, ListWord, Survey, Word};
+use crate::messages::{id_of, Done, Entry, ListWord, Survey, Word};
+use crate::timer;
 use may::coroutine;
 use rockflow::interface::*;
 use rockflow_facts::{dotted, Facts, Wiring};
@@ -116,7 +116,7 @@
                 }
                 None => match self.roll.as_ref().and_then(|roll| roll.due(now)) {
                     Some(due) => {
-                        rest::park(due.saturating_sub(now));
+                        timer::park(due.saturating_sub(now));
                         let news = self.roll.as_mut().map(|roll| roll.tick(self.reading.clock.now()));
                         self.tell(news.unwrap_or_default(), None);
                     }
--- a/crates/rockflow-dispatcher/src/listener.rs
+++ b/crates/rockflow-dispatcher/src/listener.rs
@@ -2,9 +2,9 @@
 
 use crate::client::{self, Door};
 use crate::mailbox::Mailbox;
-use crate::rest;
-use crate::wires::Wires;
-use crate::words::BoardWord;
+use crate::messages::BoardWord;
+use crate::pool::ConnectionPool;
+use crate::timer;
 use may::net::TcpListener;
 use may::sync::Semphore;
 use std::sync::atomic::Ordering;
@@ -18,11 +18,11 @@
 /// How often connections are looked through for such as have outlived their use.
 const LOOK: Duration = Duration::from_millis(200);
 
-pub fn look(door: &Door, wires: &Wires, board: &Mailbox<BoardWord>) {
+pub fn look(door: &Door, pool: &ConnectionPool, board: &Mailbox<BoardWord>) {
     loop {
-        rest::sleep(LOOK);
+        timer::sleep(LOOK);
         door.look();
-        wires.look();
+        pool.look();
         board.send(BoardWord::Look);
     }
 }
@@ -46,7 +46,7 @@
             Err(what) => {
                 warn!(%what, "accept failed");
                 seats.post();
-                rest::sleep(PAUSE);
+                timer::sleep(PAUSE);
             }
         }
     }
--- a/crates/rockflow-dispatcher/src/module.rs
+++ b/crates/rockflow-dispatcher/src/module.rs
@@ -4,10 +4,10 @@
 use crate::clock::Clock;
 use crate::host::Host;
 use crate::mailbox::{Mailbox, Wake};
+use crate::messages::*;
 use crate::pass::Pass;
-use crate::rest;
-use crate::wires::Wires;
-use crate::words::*;
+use crate::pool::ConnectionPool;
+use crate::timer;
 use may::coroutine;
 use rockflow::interface::*;
 use rockflow::Dispatcher;
@@ -74,7 +74,7 @@
     pub seed: u64,
     /// Names of the values of a load report; none where probes bring none.
     pub report: Vec<String>,
-    pub wires: Arc<Wires>,
+    pub pool: Arc<ConnectionPool>,
     /// Set once a list of hosts is known: from then on queries can be decided.
     pub ready: Arc<AtomicBool>,
     /// How late after a query's end its answer still counts.
@@ -137,7 +137,7 @@
             });
             match wait {
                 Some(Duration::ZERO) => {}
-                Some(wait) => rest::park(wait),
+                Some(wait) => timer::park(wait),
                 None => coroutine::park(),
             }
         }
@@ -421,10 +421,10 @@
     /// The mailbox of a listed host, whose actor starts with the first order.
     fn mail_of(&mut self, id: HostId) -> Option<Arc<Mailbox<Order>>> {
         let peer = self.peers.get_mut(&id)?;
-        let (entry, wires) = (&peer.entry, &self.given.wires);
+        let (entry, pool) = (&peer.entry, &self.given.pool);
         let mail = peer.mail.get_or_insert_with(|| {
-            let (mail, wires) = (Mailbox::new(), wires.clone());
-            let host = Host { name: entry.name.clone(), address: entry.address, wires, mail: mail.clone() };
+            let (mail, pool) = (Mailbox::new(), pool.clone());
+            let host = Host { name: entry.name.clone(), address: entry.address, pool, mail: mail.clone() };
             may::go!(move || host.run());
             mail
         });
@@ -435,7 +435,7 @@
         let (tag, now) = (self.next_probe, self.given.clock.now());
         self.next_probe += 1;
         self.probes.insert(tag, (host, now));
-        self.due.push(Reverse((now + self.given.wires.connect_limit, Due::Probe(tag))));
+        self.due.push(Reverse((now + self.given.pool.connect_limit, Due::Probe(tag))));
         let load = !self.given.report.is_empty();
         match self.mail_of(host) {
             Some(mail) => mail.send(Order::Probe { tag, load }),
--- a/crates/rockflow-dispatcher/src/pass.rs
+++ b/crates/rockflow-dispatcher/src/pass.rs
@@ -1,7 +1,7 @@
 //! A leg's way from its decision to its first byte: it begins, or it is withdrawn, and never both.
 
 use crate::mailbox::Mailbox;
-use crate::words::ClientWord;
+use crate::messages::ClientWord;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/rockflow-dispatcher/src/wires.rs
+++ b/crates/rockflow-dispatcher/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::mailbox::Mailbox;
-use crate::words::{LegKey, LineWord, Wanted, Word};
+use crate::messages::{LegKey, LineWord, Wanted, Word};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,7 +14,7 @@
 const MOST_CARRIED: usize = 1024;
 
 /// What all lines to hosts share.
-pub struct Wires {
+pub struct ConnectionPool {
     pub clock: Clock,
     pub module: Arc<Mailbox<Word>>,
     pub connect_limit: Duration,
@@ -35,7 +35,7 @@
     pub most_held: usize,
 }
 
-impl Wires {
+impl ConnectionPool {
     /// No coroutine gives way while it holds this lock.
     pub fn lines(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Line>>> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner)
@@ -133,15 +133,15 @@
     }
 
     /// Remembers an id that goes on it, for as long as an answer may come.
-    pub fn carry(&self, id: &str, wires: &Wires) {
-        let at = wires.clock.now();
+    pub fn carry(&self, id: &str, pool: &ConnectionPool) {
+        let at = pool.clock.now();
         let mut carried = lock(&self.carried);
-        carried.retain(|_, old| at.saturating_sub(old.at) <= wires.longest);
+        carried.retain(|_, old| at.saturating_sub(old.at) <= pool.longest);
         carried.insert(id.to_string(), Carried { at, answered: false });
     }
 
-    pub fn want(&self, wanted: Wanted, wires: &Wires) {
-        self.carry(&wanted.id, wires);
+    pub fn want(&self, wanted: Wanted, pool: &ConnectionPool) {
+        self.carry(&wanted.id, pool);
         self.out.fetch_add(1, Ordering::Relaxed);
         self.mail.send(LineWord::Want(wanted));
     }
@@ -156,17 +156,17 @@
 
     /// Whether a leg under this id may go on it. Nothing gets through behind an answer that nobody waits for and
     /// that is not over.
-    pub fn takes(&self, id: &str, wires: &Wires) -> bool {
+    pub fn takes(&self, id: &str, pool: &ConnectionPool) -> bool {
         let again = lock(&self.carried).contains_key(id);
         let blocked = self.is_midway() && self.out() == 0;
-        self.is_up() && !again && !blocked && !self.is_spent(wires) && self.out() < wires.most_streams
+        self.is_up() && !again && !blocked && !self.is_spent(pool) && self.out() < pool.most_streams
     }
 
     /// Whether nothing new will ever go on it.
-    pub fn is_spent(&self, wires: &Wires) -> bool {
-        let idle = wires.clock.now().saturating_sub(self.used());
+    pub fn is_spent(&self, pool: &ConnectionPool) -> bool {
+        let idle = pool.clock.now().saturating_sub(self.used());
         let full = lock(&self.carried).len() >= MOST_CARRIED;
-        self.spent.load(Ordering::Relaxed) || full || idle >= wires.idle_limit.mul_f64(IDLE_PART)
+        self.spent.load(Ordering::Relaxed) || full || idle >= pool.idle_limit.mul_f64(IDLE_PART)
     }
 }
 
--- a/crates/rockflow-dispatcher/src/service.rs
+++ b/crates/rockflow-dispatcher/src/service.rs
@@ -8,11 +8,11 @@
 use crate::list::{List, Reading};
 use crate::listener;
 use crate::mailbox::Mailbox;
+use crate::messages::{BoardWord, Phase, Word};
 use crate::module::{Given, Module};
-use crate::rest;
+use crate::pool::ConnectionPool;
+use crate::timer;
 use crate::told::{Told, Unchanging};
-use crate::wires::Wires;
-use crate::words::{BoardWord, Phase, Word};
 use may::coroutine::Builder;
 use may::net::TcpListener;
 use may::sync::Semphore;
@@ -90,7 +90,7 @@
             known = roll.tell(true, known, clock.now());
         }
         info!(name = told.name, listen = %told.listen, hosts = known.len(), rev = told.known.rev, ?caps, "starting");
-        let wires = Arc::new(Wires {
+        let pool = Arc::new(ConnectionPool {
             clock,
             module: mail.clone(),
             connect_limit: told.wiring.connect_limit,
@@ -104,7 +104,7 @@
             held,
             most_held: caps.held,
         });
-        let looked = (door.clone(), wires.clone());
+        let looked = (door.clone(), pool.clone());
         let products = told.wiring.products.iter().cloned();
         let named = products.zip(told.facts.deployment.products.iter().cloned()).collect();
         let given = Given {
@@ -113,7 +113,7 @@
             products: told.wiring.products.clone(),
             seed: told.seed,
             report: told.wiring.report,
-            wires,
+            pool,
             ready: ready.clone(),
             slack: told.wiring.answer_slack,
             mail: mail.clone(),
@@ -145,7 +145,7 @@
             locations: told.wiring.locations,
             list: list_mail,
             door: door.clone(),
-            wires: looked.1.clone(),
+            pool: looked.1.clone(),
             board: seen,
             phase: Arc::new(AtomicU8::new(Phase::Starting as u8)),
         };
@@ -239,7 +239,7 @@
     let lasting = move || loop {
         let ended = catch_unwind(AssertUnwindSafe(&mut actor));
         error!(name, panicked = ended.is_err(), "actor panicked");
-        rest::sleep(AGAIN);
+        timer::sleep(AGAIN);
     };
     // Safe as long as actors use no thread-local values across a wait and keep to their stacks.
     unsafe { Builder::new().name(name.to_string()).stack_size(stack).spawn::<_, ()>(lasting).map(|_| ()) }
--- a/crates/rockflow-dispatcher/tests/line.rs
+++ b/crates/rockflow-dispatcher/tests/line.rs
@@ -3,9 +3,9 @@
 use rockflow::interface::{LegNo, Outcome, QueryId};
 use rockflow_dispatcher::line;
 use rockflow_dispatcher::mailbox::Mailbox;
+use rockflow_dispatcher::messages::{LegKey, Order, Wanted, Word};
 use rockflow_dispatcher::pass::Pass;
-use rockflow_dispatcher::wires::{Line, Queue, Wires};
-use rockflow_dispatcher::words::{LegKey, Order, Wanted, Word};
+use rockflow_dispatcher::pool::{ConnectionPool, Line, Queue};
 use rockflow_dispatcher::{Clock, Service};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -27,7 +27,7 @@
     module: Arc<Mailbox<Word>>,
     host: Arc<Mailbox<Order>>,
     queue: Arc<Queue>,
-    wires: Arc<Wires>,
+    pool: Arc<ConnectionPool>,
     line: Arc<Line>,
     peer: BufReader<TcpStream>,
 }
@@ -45,13 +45,17 @@
 
 impl Bed {
     fn new() -> Bed {
+        Bed::idle_for(Duration::from_secs(30))
+    }
+
+    fn idle_for(idle_limit: Duration) -> Bed {
         SET_UP.call_once(Service::set_up);
         let (clock, module, host) = (Clock::start(), Mailbox::new(), Mailbox::new());
-        let wires = Arc::new(Wires {
+        let pool = Arc::new(ConnectionPool {
             clock,
             module: module.clone(),
             connect_limit: Duration::from_secs(1),
-            idle_limit: Duration::from_secs(30),
+            idle_limit,
             most_streams: 100,
             longest: PATIENCE,
             line_out: 2 * MUCH,
@@ -64,11 +68,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let queue = Arc::new(Queue::default());
-        let line = line::start("c1".to_string(), at, wires.clone(), host.clone(), queue.clone());
+        let line = line::start("c1".to_string(), at, pool.clone(), host.clone(), queue.clone());
         let (peer, _) = listener.accept().unwrap();
         peer.set_read_timeout(Some(PATIENCE)).unwrap();
         wait("the line is up", || line.is_up().then_some(()));
-        Bed { clock, module, host, queue, wires, line, peer: BufReader::new(peer) }
+        Bed { clock, module, host, queue, pool, line, peer: BufReader::new(peer) }
     }
 
     fn wanted(&self, number: u64, line: Vec<u8>) -> Wanted {
@@ -81,7 +85,7 @@
     }
 
     fn give(&self, wanted: &Wanted) {
-        self.line.want(wanted.clone(), &self.wires);
+        self.line.want(wanted.clone(), &self.pool);
     }
 
     fn got(&mut self) -> String {
@@ -221,3 +225,15 @@
     bed.answers(&other);
     assert_eq!(bed.queue.len(), 1);
 }
+
+/// Its host may be closing it just then.
+#[test]
+fn a_connection_that_has_rested_for_most_of_the_told_time_takes_nothing() {
+    let _alone = alone();
+    let bed = Bed::idle_for(Duration::from_millis(500));
+    assert!(bed.line.takes("x", &bed.pool));
+    wait("it takes nothing more", || (!bed.line.takes("x", &bed.pool)).then_some(()));
+    let rested = bed.clock.now() - bed.line.used();
+    assert!(rested >= Duration::from_millis(400), "{rested:?}");
+    assert!(bed.line.is_up());
+}
--- a/crates/rockflow-dispatcher/tests/rest.rs
+++ b/crates/rockflow-dispatcher/tests/timer.rs
@@ -1,6 +1,6 @@
 //! Waits: few lengths, and nobody sleeps for ever.
 
-use rockflow_dispatcher::rest::{park, piece, sleep, LONGEST};
+use rockflow_dispatcher::timer::{park, piece, sleep, LONGEST};
 use std::collections::BTreeSet;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
--- a/crates/rockflow-operator/src/desk.rs
+++ b/crates/rockflow-operator/src/desk.rs
@@ -5,7 +5,7 @@
 use crate::audit::Audit;
 use crate::file::ManagementPart;
 use crate::state;
-use rockflow_dispatcher::words::Survey;
+use rockflow_dispatcher::messages::Survey;
 use rockflow_dispatcher::{Clock, Link};
 use rockflow_management::*;
 use rockflow_roster::{effective, Marks, Says};
--- a/crates/rockflow-operator/src/state.rs
+++ b/crates/rockflow-operator/src/state.rs
@@ -1,7 +1,7 @@
 //! The dispatcher's state as the model has it, from a survey and what the datastores tell of themselves.
 
 use rockflow::interface::{Effect, Readiness, Role};
-use rockflow_dispatcher::words::Survey;
+use rockflow_dispatcher::messages::Survey;
 use rockflow_dispatcher::{Link, Phase};
 use rockflow_management::{moment, Durable, Management, Surroundings};
 use rockflow_roster::{effective, Listed};
