--- a/crates/rockflow-dispatcher/tests/common/mod.rs
+++ b/crates/rockflow-dispatcher/tests/common/mod.rs
@@ -46,7 +46,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Sender};
-use std::sync::Once;
+use std::sync::{Once, OnceLock};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -345,6 +345,7 @@
             ("over", _) => {
                 let service = self.stopping.take().unwrap().join().unwrap();
                 assert_eq!(service.phase(), Phase::Over);
+                self.service = Some(service);
             }
             ("crowd", count) => {
                 let address = self.address.expect("started");
@@ -509,6 +510,25 @@
     }
 }
 
+/// Guards against a dispatcher whose play is over, but whose actors last as long as the process: it would go on calling
+/// its board at a port that is another's by then. From here on it calls one where nobody ever answers.
+impl Drop for Play {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            return;
+        }
+        static NOBODY: OnceLock<TcpListener> = OnceLock::new();
+        let nobody = NOBODY.get_or_init(|| TcpListener::bind("127.0.0.1:0").unwrap());
+        self.frozen = None;
+        let ended = self.stopping.take().and_then(|stopping| stopping.join().ok());
+        if let Some(mut service) = self.service.take().or(ended) {
+            let mut told = self.told("nobody", &[]);
+            told.board = nobody.local_addr().unwrap();
+            service.reload(&told);
+        }
+    }
+}
+
 /// Plays a scenario to its end.
 pub fn play(text: &str) {
     OURS.set(true);
