One answer to a request, whatever lies behind it and whenever it was read

Callers saw a second answer: a client that had sent bytes behind its request got the whole response and then, up to two seconds later or at a planned stop, 408, 503, 431 or 400 with Content-Length 0 and Connection: close.

Cause: what lay behind an open request stayed in the buffer and was read as the head of the next request once the response was written. Only what had filled the buffer before was discarded, and then the connection ended with the response: so the outcome hung on how much had been read when the response was ready.

Change: all that has arrived is read before a response is given, and what lies behind counts by its content alone (classify_pipelined): a whole request is answered in its turn, half of one may become whole in 2 s, anything else ends the connection with the response. What began behind a request gets no 4xx or 503 of its own. In a crowd and at a stop whole requests behind are rejected, where they were dropped; what is past the buffer is discarded without losing what is in it.

--- a/crates/rockflow-dispatcher/src/client/connection.rs
+++ b/crates/rockflow-dispatcher/src/client/connection.rs
@@ -8,7 +8,9 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use rockflow::RequestId;
-use rockflow_protocol::client::{self, ClientRequest, HttpStatus, ParsedRequest, Persistence, Response};
+use rockflow_protocol::client::{
+    self, ClientRequest, HttpStatus, ParsedRequest, Persistence, PipelinedBytes, Response,
+};
 use rockflow_protocol::Buffer;
 use std::io::{ErrorKind, Read, Write};
 use std::net::Shutdown;
@@ -28,6 +30,8 @@
 const ROUNDS_PER_TURN: u64 = 16;
 /// One head, and the start of the next.
 const RECEIVE_BUFFER_BYTES: usize = 2 * client::MAX_HEAD_BYTES;
+/// Bytes that are discarded with one read.
+const DISCARD_BUFFER_BYTES: usize = 4096;
 
 /// What came of an attempt to read.
 enum ReadOutcome {
@@ -52,12 +56,17 @@
     slot: Arc<ClientSlot>,
     buffer: Buffer,
     open: Option<OpenRequest>,
-    /// Bytes after the open request that were discarded for lack of space; the connection ends with its response then.
+    /// The connection ends once the requests that have arrived completely have their responses: what else arrives is
+    /// discarded.
+    ending: bool,
+    /// Bytes that were discarded behind an open request, or since the last response was written.
     discarded_bytes: usize,
     /// No further request is expected: our side is shut as soon as nothing that has arrived needs a response.
     shutting: bool,
     /// When the request that is arriving began; none: nothing of one is here.
     head_started: Option<Duration>,
+    /// That request began before the response to the one before it had been written.
+    is_pipelined: bool,
     /// Asked to yield its place.
     yielding: bool,
     /// Counted in `ClientRegistry::open_requests`.
@@ -65,8 +74,8 @@
     response: OutgoingResponse,
     /// The connection ends with the response that is being written, or after the last one.
     is_last: bool,
-    /// Bytes read since the last response was written.
-    lingering: Option<usize>,
+    /// Our side is shut: the client is left to read its last response and close.
+    lingering: bool,
     /// When the connection last made progress: it was accepted, a request arrived, a response was given or written.
     last_progress: Duration,
 }
@@ -84,14 +93,16 @@
             slot,
             buffer: Buffer::new(RECEIVE_BUFFER_BYTES),
             open: None,
+            ending: false,
             discarded_bytes: 0,
             shutting: false,
             head_started: Some(now),
+            is_pipelined: false,
             yielding: false,
             is_counted: false,
             response: OutgoingResponse::default(),
             is_last: false,
-            lingering: None,
+            lingering: false,
             last_progress: now,
         }
     }
@@ -125,19 +136,22 @@
         self.settle();
     }
 
-    /// Takes messages, writes, reads, and starts the next request. Returns whether anything happened.
+    /// Reads, takes messages, writes, and starts the next request. Returns whether anything happened.
     fn serve_round(&mut self) -> Result<bool, EndReason> {
-        let mut progress = self.take_messages()?;
-        let wrote = self.write().map_err(|_| EndReason::WriteFailed)?;
-        progress |= if self.is_last && self.response.is_complete() { self.linger() } else { wrote };
-        // All that has arrived is read before a request is started, so that none starts for a client that is gone.
+        // All that has arrived is read before a response is given or a request is started: so what lies behind a request
+        // counts as a whole, however it arrived, and no request starts for a client that is gone.
         match self.read() {
             ReadOutcome::EndOfStream => return Err(EndReason::EndOfStream),
             ReadOutcome::Failed => return Err(EndReason::ReadFailed),
-            ReadOutcome::Progress => progress = true,
-            ReadOutcome::Nothing if self.is_idle() && !self.is_last => progress |= self.start_next(),
+            ReadOutcome::Progress => return Ok(true),
             ReadOutcome::Nothing => {}
         }
+        let mut progress = self.take_messages()?;
+        let wrote = self.write().map_err(|_| EndReason::WriteFailed)?;
+        progress |= if self.is_last && self.response.is_complete() { self.linger() } else { wrote };
+        if !progress && self.is_idle() && !self.is_last {
+            progress = self.start_next();
+        }
         if !progress && std::mem::take(&mut self.yielding) && self.is_idle() {
             return Err(EndReason::Yielded);
         }
@@ -178,7 +192,7 @@
         if !self.response.is_complete() {
             return stalled > self.registry.max_deadline;
         }
-        if self.lingering.is_some() {
+        if self.lingering {
             return stalled > LINGER_TIMEOUT;
         }
         let is_head_late =
@@ -205,10 +219,9 @@
         if !std::mem::take(&mut self.shutting) {
             return false;
         }
-        if !has_partial_head {
-            // What arrives from here on crossed our end of the connection: it is read and not served.
-            self.is_last = true;
-            self.last_progress = self.registry.clock.now();
+        // What began behind a request and never became one is not responded to: nothing follows a response.
+        if !has_partial_head || self.is_pipelined {
+            self.end_silently();
         } else if self.is_closing() {
             self.respond(Response::Rejected { retry_after: None }, Persistence::Close);
         } else {
@@ -218,14 +231,25 @@
         true
     }
 
+    /// What arrives from here on crossed our end of the connection: it is read and not served.
+    fn end_silently(&mut self) {
+        self.is_last = true;
+        self.last_progress = self.registry.clock.now();
+    }
+
     /// Takes a request head from the buffer; false: none is complete.
     fn read_head(&mut self) -> bool {
         if self.buffer.filled().is_empty() {
             return false;
         }
+        if self.is_pipelined && self.pipelined_bytes() == PipelinedBytes::Unusable {
+            self.end_silently();
+            return true;
+        }
         let Some(head) = client::decode_request(self.buffer.filled()) else { return false };
         self.buffer.consume(head.length);
         self.head_started = None;
+        self.is_pipelined = false;
         let persistence = head.persistence;
         match head.request {
             ParsedRequest::HealthCheck if self.registry.ready.load(Ordering::Relaxed) => {
@@ -240,7 +264,11 @@
             }
             // Guards against work that nobody is left to complete: what arrives after the shutdown's time is rejected.
             ParsedRequest::Fetch(_) if self.is_closing() => {
-                self.respond(Response::Rejected { retry_after: None }, Persistence::Close);
+                self.respond(Response::Rejected { retry_after: None }, persistence);
+            }
+            // Guards against a pipelining client that keeps its place while no further connection can be accepted.
+            ParsedRequest::Fetch(_) if self.ending && self.registry.ends_connections() => {
+                self.respond(Response::Rejected { retry_after: None }, persistence);
             }
             ParsedRequest::Fetch(_) if self.registry.decisions.len() >= self.registry.max_queued_requests => {
                 self.respond(Response::Rejected { retry_after: None }, persistence);
@@ -265,14 +293,13 @@
     /// Responds to the open request; false: it is another.
     fn complete(&mut self, request: RequestId, response: Response) -> bool {
         let Some(open) = self.open.take_if(|open| open.id == request) else { return false };
-        let persistence = if self.discarded_bytes == 0 { open.persistence } else { Persistence::Close };
-        self.respond(response, persistence);
+        self.respond(response, open.persistence);
         true
     }
 
-    fn respond(&mut self, response: Response, persistence: Persistence) {
+    fn respond(&mut self, response: Response, requested: Persistence) {
         self.shutting = false;
-        let persistence = if self.registry.ends_connections() { Persistence::Close } else { persistence };
+        let persistence = self.persistence_of_response(requested);
         self.response.head = client::encode_response(&response, persistence);
         let body = if let Response::Succeeded { body, .. } = response { body } else { Vec::new() };
         self.set_body(body);
@@ -281,6 +308,21 @@
         self.last_progress = self.registry.clock.now();
     }
 
+    /// Whether the connection outlives a response. A connection that is to end still answers the requests that have arrived
+    /// completely behind this one; what can't become a request ends it.
+    fn persistence_of_response(&mut self, requested: Persistence) -> Persistence {
+        self.ending |= self.registry.ends_connections();
+        match self.pipelined_bytes() {
+            PipelinedBytes::Request => requested,
+            PipelinedBytes::Nothing | PipelinedBytes::PartialRequest if !self.ending => requested,
+            _ => Persistence::Close,
+        }
+    }
+
+    fn pipelined_bytes(&self) -> PipelinedBytes {
+        client::classify_pipelined(self.buffer.filled())
+    }
+
     /// Replaces the body, and counts the bytes that are held.
     fn set_body(&mut self, body: Vec<u8>) {
         self.registry.buffered_bytes.fetch_add(body.len(), Ordering::Relaxed);
@@ -316,6 +358,11 @@
     fn on_response_written(&mut self) {
         self.set_body(Vec::new());
         self.response = OutgoingResponse::default();
+        let pipelined = self.pipelined_bytes();
+        self.is_pipelined = pipelined != PipelinedBytes::Nothing;
+        // Guards against a second response to a client that sent one request: what it sent behind it was none. Its end of
+        // the connection can be shut only now if it came while the response was being written.
+        self.is_last |= pipelined == PipelinedBytes::Unusable;
         // A request that arrived behind the one that is completed now begins only here.
         self.head_started = (!self.buffer.filled().is_empty()).then_some(self.last_progress);
         // One that lingers owes nothing and is the first to yield.
@@ -332,46 +379,55 @@
 
     /// Reads even while a request is open: only so it shows that a client has disconnected.
     fn read(&mut self) -> ReadOutcome {
-        // Guards against a body of any size that is sent on after its rejection.
-        if self.lingering.is_some_and(|read| read > MAX_DISCARDED_BYTES) {
-            return ReadOutcome::Nothing;
-        }
-        // Guards against a client that disconnects unseen behind more than the buffer holds: what follows its request is
-        // discarded, and past a cap the connection ends.
+        // Guards against a client that disconnects unseen behind more than the buffer holds: what follows is discarded.
         if self.open.is_some() && self.buffer.spare().is_none() {
-            let full = self.buffer.filled().len();
-            self.buffer.consume(full);
-            self.discarded_bytes += full;
-            if self.discarded_bytes > MAX_DISCARDED_BYTES {
-                return ReadOutcome::Failed;
-            }
+            self.ending = true;
+        }
+        if self.ending || self.lingering {
+            return self.discard();
         }
         let Some(spare) = self.buffer.spare() else { return ReadOutcome::Nothing };
-        match self.stream.inner().read(spare) {
-            Ok(0) => ReadOutcome::EndOfStream,
-            Ok(length) => {
-                self.buffer.commit(length);
-                if self.open.is_none() && self.head_started.is_none() {
-                    self.head_started = Some(self.registry.clock.now());
-                }
-                ReadOutcome::Progress
+        let outcome = self.stream.inner().read(spare);
+        if let Ok(length) = outcome {
+            self.buffer.commit(length);
+            if self.open.is_none() && self.head_started.is_none() {
+                self.head_started = Some(self.registry.clock.now());
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => ReadOutcome::Nothing,
-            Err(error) if error.kind() == ErrorKind::Interrupted => ReadOutcome::Progress,
-            Err(_) => ReadOutcome::Failed,
         }
+        read_outcome(outcome)
+    }
+
+    /// Reads what is not taken any more. Guards against a client that sends without end: behind an open request its
+    /// connection ends, after the last response nothing more is read.
+    fn discard(&mut self) -> ReadOutcome {
+        if self.discarded_bytes > MAX_DISCARDED_BYTES {
+            return if self.lingering { ReadOutcome::Nothing } else { ReadOutcome::Failed };
+        }
+        let outcome = self.stream.inner().read(&mut [0; DISCARD_BUFFER_BYTES]);
+        self.discarded_bytes += outcome.as_ref().map_or(0, |length| *length);
+        read_outcome(outcome)
     }
 
     /// Guards against a response that is lost to the reset of a connection closed with bytes unread: our side is shut, and
     /// what still arrives is discarded until the client closes too. Returns whether our side was shut just now.
     fn linger(&mut self) -> bool {
-        let length = self.buffer.filled().len();
-        self.buffer.consume(length);
-        let is_first = self.lingering.is_none();
-        self.lingering = Some(self.lingering.unwrap_or(0) + length);
-        if is_first {
-            let _ = self.stream.shutdown(Shutdown::Write);
+        if std::mem::replace(&mut self.lingering, true) {
+            return false;
         }
-        is_first
+        self.discarded_bytes = self.buffer.filled().len();
+        self.buffer.consume(self.discarded_bytes);
+        let _ = self.stream.shutdown(Shutdown::Write);
+        true
+    }
+}
+
+/// What came of a read from the socket.
+fn read_outcome(result: std::io::Result<usize>) -> ReadOutcome {
+    match result {
+        Ok(0) => ReadOutcome::EndOfStream,
+        Ok(_) => ReadOutcome::Progress,
+        Err(error) if error.kind() == ErrorKind::WouldBlock => ReadOutcome::Nothing,
+        Err(error) if error.kind() == ErrorKind::Interrupted => ReadOutcome::Progress,
+        Err(_) => ReadOutcome::Failed,
     }
 }
--- a/crates/rockflow-dispatcher/tests/crossings.rs
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -39,6 +39,9 @@
 #[test_case(include_str!("scenarios/crossings/drain-in-the-pool.txt"); "a drain beside a connection that rests")]
 #[test_case(include_str!("scenarios/crossings/leave-in-a-burst.txt"); "many clients leave at once")]
 #[test_case(include_str!("scenarios/crossings/no-delay.txt"); "small writes are not held back")]
+#[test_case(include_str!("scenarios/crossings/behind-a-request.txt"); "what lies behind a request")]
+#[test_case(include_str!("scenarios/crossings/behind-at-stop.txt"); "what lies behind a request at a stop")]
+#[test_case(include_str!("scenarios/crossings/behind-in-a-crowd.txt"); "what lies behind a request in a crowd")]
 fn crossing(text: &str) {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     common::play(text);
--- a/crates/rockflow-protocol/src/client.rs
+++ b/crates/rockflow-protocol/src/client.rs
@@ -5,6 +5,8 @@
 /// The longest request head that is read, in bytes.
 pub const MAX_HEAD_BYTES: usize = 8192;
 const MAX_HEADERS: usize = 64;
+/// How every request begins that can be served.
+const REQUEST_START: &[u8] = b"GET /";
 /// The longest class name, object name or tag, in bytes.
 const MAX_TOKEN_BYTES: usize = 128;
 /// Larger header values are rejected.
@@ -83,24 +85,20 @@
 
 /// Reads one request head; none: it is not complete yet.
 pub fn decode_request(bytes: &[u8]) -> Option<RequestHead> {
-    // Clients may send empty lines between requests.
-    let blank = bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     // Where the head ends can't be known: nothing after it is read.
-    let invalid = |code, reason| {
-        let request = ParsedRequest::Invalid(HttpStatus::new(code, reason));
+    let invalid = |status| {
+        let request = ParsedRequest::Invalid(status);
         Some(RequestHead { length: bytes.len(), persistence: Persistence::Close, request })
     };
-    let length = match parsed.parse(&bytes[blank..]) {
-        Ok(httparse::Status::Complete(length)) if blank + length <= MAX_HEAD_BYTES => blank + length,
-        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => return None,
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return invalid(431, "head too long"),
-        Err(_) => return invalid(400, "malformed head"),
+    let length = match parse_head(bytes, &mut parsed) {
+        Ok(length) => length?,
+        Err(status) => return invalid(status),
     };
     let fields = Fields(parsed.headers);
     if fields.announce_body() {
-        return invalid(413, "a body where none belongs");
+        return invalid(HttpStatus::new(413, "a body where none belongs"));
     }
     let persistence = fields.persistence(parsed.version);
     let (method, target) = (parsed.method.unwrap_or(""), parsed.path.unwrap_or(""));
@@ -108,6 +106,58 @@
     Some(RequestHead { length, persistence, request })
 }
 
+/// Parses one head and returns its length; none: it is not complete yet.
+fn parse_head<'b>(
+    bytes: &'b [u8],
+    parsed: &mut httparse::Request<'_, 'b>,
+) -> Result<Option<usize>, HttpStatus> {
+    let blank = count_empty_line_bytes(bytes);
+    match parsed.parse(&bytes[blank..]) {
+        Ok(httparse::Status::Complete(length)) if blank + length <= MAX_HEAD_BYTES => {
+            Ok(Some(blank + length))
+        }
+        Ok(httparse::Status::Partial) if bytes.len() < MAX_HEAD_BYTES => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HttpStatus::new(431, "head too long")),
+        Err(_) => Err(HttpStatus::new(400, "malformed head")),
+    }
+}
+
+/// Clients may send empty lines between requests.
+fn count_empty_line_bytes(bytes: &[u8]) -> usize {
+    bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count()
+}
+
+/// What has arrived behind a request whose response is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PipelinedBytes {
+    /// Nothing, or empty lines.
+    Nothing,
+    /// The head of another request, not complete yet.
+    PartialRequest,
+    /// The complete head of another request.
+    Request,
+    /// Nothing that can become a request that is served.
+    Unusable,
+}
+
+/// Tells what bytes behind a request are, by their content alone.
+pub fn classify_pipelined(bytes: &[u8]) -> PipelinedBytes {
+    let head = &bytes[count_empty_line_bytes(bytes)..];
+    if head.is_empty() {
+        return PipelinedBytes::Nothing;
+    }
+    let start = &head[..head.len().min(REQUEST_START.len())];
+    if !REQUEST_START.starts_with(start) {
+        return PipelinedBytes::Unusable;
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match parse_head(bytes, &mut httparse::Request::new(&mut headers)) {
+        Ok(Some(_)) => PipelinedBytes::Request,
+        Ok(None) => PipelinedBytes::PartialRequest,
+        Err(_) => PipelinedBytes::Unusable,
+    }
+}
+
 /// A response to a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Response {
--- a/crates/rockflow-protocol/tests/codecs.rs
+++ b/crates/rockflow-protocol/tests/codecs.rs
@@ -1,6 +1,6 @@
 //! The codecs byte by byte: at every split, with what is malformed, and with junk from a fixed seed.
 
-use rockflow_protocol::client::{self, ParsedRequest, Persistence, Response};
+use rockflow_protocol::client::{self, ParsedRequest, Persistence, PipelinedBytes, Response};
 use rockflow_protocol::discovery::{self, WatchEvent, WatchStream};
 use rockflow_protocol::upstream::{
     self, CacheNote, DecodedResponse, FetchRequest, HealthCheckKind, LoadValue, Status,
@@ -78,6 +78,34 @@
     assert_eq!(head.persistence, Persistence::Close);
 }
 
+#[test]
+fn classifies_pipelined_request_at_every_cut() {
+    assert_eq!(client::classify_pipelined(b""), PipelinedBytes::Nothing);
+    for cut in 1..REQUEST.len() {
+        let part = &REQUEST.as_bytes()[..cut];
+        assert_eq!(client::classify_pipelined(part), PipelinedBytes::PartialRequest, "cut at {cut}");
+    }
+    assert_eq!(client::classify_pipelined(REQUEST.as_bytes()), PipelinedBytes::Request);
+    let followed = format!("\r\n{REQUEST}xxx");
+    assert_eq!(client::classify_pipelined(followed.as_bytes()), PipelinedBytes::Request);
+}
+
+#[test_case("\r\n\r\n", PipelinedBytes::Nothing; "empty lines")]
+#[test_case("x", PipelinedBytes::Unusable; "a byte of no meaning")]
+#[test_case("GET http://backend.local/", PipelinedBytes::Unusable; "a target that is not served")]
+#[test_case("POST /_health HTTP/1.1\r\n\r\n", PipelinedBytes::Unusable; "a method that is not served")]
+#[test_case("GET /\x01 HTTP/1.1\r\n\r\n", PipelinedBytes::Unusable; "a malformed head")]
+#[test_case("GET /other HTTP/1.1\r\n\r\n", PipelinedBytes::Request; "a path that is not served")]
+fn classifies_pipelined_bytes(bytes: &str, expected: PipelinedBytes) {
+    assert_eq!(client::classify_pipelined(bytes.as_bytes()), expected);
+}
+
+#[test]
+fn pipelined_head_past_its_limit_is_unusable() {
+    let long = format!("GET /{}", "x".repeat(client::MAX_HEAD_BYTES));
+    assert_eq!(client::classify_pipelined(long.as_bytes()), PipelinedBytes::Unusable);
+}
+
 #[test_case(Response::Succeeded { tag: "t1".into(), body: vec![7; 3] }, "200 OK\r\nContent-Length: 3\r\nETag: \"t1\"\r\n")]
 #[test_case(Response::NotModified { tag: "t1".into() }, "304 Not Modified\r\nETag: \"t1\"\r\n")]
 #[test_case(Response::Rejected { retry_after: Some(Duration::from_millis(250)) },
