A line that trails another is timed where the dispatcher writes it

scenario::test_case_4_silent failed at times: the want that is held back 5 ms behind the never_mind of its request seemed to come under 1 ms after it.

Cause: the play took the time when its own thread had read each line. Beside other work that thread reads never_mind late, and finds the want right behind.

Nothing is amiss in the dispatcher, so callers saw nothing.

`trails` now measures between the two writes on the dispatcher's sockets, the bound as it was: it is what the host's order hangs on, and no thread of the test is between. With the delay taken out (CANCEL_PROPAGATION 0) the scenario fails.

--- a/crates/rockflow-dispatcher/tests/common/mod.rs
+++ b/crates/rockflow-dispatcher/tests/common/mod.rs
@@ -24,7 +24,8 @@
 //!                                       `FIELD<N`, or below N and the time since the last purge with `FIELD<N+since`, in
 //!                                       milliseconds; its id is remembered
 //!     c skips WORD...                   lines up to one holding these words are read and passed over
-//!     c trails WORD...                  the same, and it comes a moment after the line that was got before
+//!     c trails WORD...                  the same as `gets`, and the dispatcher began to write it a moment after the line that
+//!                                       was got before
 //!     c says WORD FIELDS [id=HEX] [body=TEXT]   answers the remembered id, or the one named
 //!     c sends TEXT | c closes | c ended | c dies    a host's connection ends; the host is gone
 //!     nodelay N                         so many of the dispatcher's sockets, at least, hold no small write back
--- a/crates/rockflow-dispatcher/tests/common/play.rs
+++ b/crates/rockflow-dispatcher/tests/common/play.rs
@@ -42,7 +42,8 @@
     /// Configurations for a dispatcher that is stopping.
     pub(super) reloads: Option<Sender<Config>>,
     pub(super) handle: Option<ServiceHandle>,
-    pub(super) got: Instant,
+    /// The line that a host got last.
+    pub(super) got: String,
     /// Since when the last purge has been sent.
     pub(super) purged: Instant,
     /// Discovery services send comments.
@@ -67,7 +68,7 @@
             stopping: None,
             reloads: None,
             handle: None,
-            got: Instant::now(),
+            got: String::new(),
             purged: Instant::now(),
             comments: false,
             held: Arc::default(),
--- a/crates/rockflow-dispatcher/tests/common/steps.rs
+++ b/crates/rockflow-dispatcher/tests/common/steps.rs
@@ -2,7 +2,7 @@
 
 use super::party::Comments;
 use super::play::{pairs, rejection_name, Play};
-use super::sockets::NO_DELAY;
+use super::sockets::{gap_between, NO_DELAY};
 use super::worker::WorkerGate;
 use super::{MS, PATIENCE};
 use rockflow::ObjectId;
@@ -274,9 +274,11 @@
                 self.party(rest.last().unwrap_or(&name)).connect(stream);
             }
             (_, "trails") => {
-                let before = self.got;
+                let before = self.got.clone();
                 self.play(&format!("{name} gets {}", rest.join(" ")));
-                assert!(self.got - before > Duration::from_millis(1), "{:?}", self.got - before);
+                let host = self.party(name).listener.as_ref().expect("a listener").local_addr().unwrap();
+                let gap = gap_between(host, &before, &self.got);
+                assert!(gap.is_some_and(|gap| gap > Duration::from_millis(1)), "{gap:?}");
             }
             (_, "skips") => loop {
                 let got = self.party(name).line();
@@ -312,7 +314,7 @@
                     party.id = got.split(' ').nth(1).unwrap().to_string();
                     assert_eq!(party.line(), "\r\n");
                 }
-                self.got = Instant::now();
+                self.got = got;
             }
             (_, "says") => {
                 let party = self.party(name);
