The log's line `everywhere` names the run of the control node, and tests sum by it

of_six_control_nodes_the_publishing_one_dies_in_a_burst_and_then_the_next waited in vain for 186 purges to be in force everywhere. Callers saw nothing.

Cause: the line named control node, kind and number, not the run; the rig told two runs of a node apart where the numbers fall. A node killed at its first number begins its next run there: no fall, and the sum is one short.

The new streams_of_each_run_of_a_control_node_add_up gives 5 in place of 6 by the sum before.

Change: `incarnation=` in the line, and the rig adds up by control node and run, which is stricter: nothing is guessed.

--- a/crates/rockflow-cli/src/control/report.rs
+++ b/crates/rockflow-cli/src/control/report.rs
@@ -13,6 +13,7 @@
             kind = ?stream.kind,
             number = number.0,
             seconds = after.as_secs_f64(),
+            incarnation = stream.incarnation.0,
             "everywhere"
         ),
         Output::IncarnationSuperseded { incarnation } => warn!(
--- a/crates/rockflow-cli/tests/dissemination_faults.rs
+++ b/crates/rockflow-cli/tests/dissemination_faults.rs
@@ -12,6 +12,19 @@
 use std::time::Duration;
 use test_case::test_case;
 
+/// Guards against a sum that is short where a control node was killed at its first number: its next run begins there too.
+#[test]
+fn streams_of_each_run_of_a_control_node_add_up() {
+    let line = |incarnation: u64, number: u64| {
+        format!(
+            "INFO everywhere control=0 kind=Purges number={number} seconds=0.1 incarnation={incarnation}\n"
+        )
+    };
+    let log: String = [line(7, 1), line(9, 1), line(9, 2), line(9, 5)].concat();
+    assert_eq!(tops(&log, "Purges").values().sum::<u64>(), 6);
+    assert!(tops(&log, "Configuration").is_empty());
+}
+
 #[test]
 fn a_purge_is_heeded_by_what_every_client_is_served() {
     let mut rig = Rig::start();
--- a/crates/rockflow-cli/tests/rig/mod.rs
+++ b/crates/rockflow-cli/tests/rig/mod.rs
@@ -8,7 +8,7 @@
 use rockflow_process_harness::{wait_until, Fleet, Layout, Place, Signal};
 use rockflow_test_servers::{DiscoveryServer, Host, TemporaryFolder};
 use serde_json::{json, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -252,7 +252,7 @@
 
     /// How many of a kind a control node has said to be in force everywhere, in all streams.
     pub fn said(&self, control: usize, kind: &str) -> u64 {
-        tops(&self.fleet.control[control].log(), kind).iter().map(|(_, top)| top).sum()
+        tops(&self.fleet.control[control].log(), kind).values().sum()
     }
 
     /// Of each life of each dispatcher by its own word: no purge was in effect a second time. So it is where every
@@ -342,18 +342,28 @@
     line.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
 }
 
-/// The highest number said to be everywhere of each control node of a kind; lives of one node add up, as each numbers
-/// from 1 and its lines come in rising order.
-pub fn tops(log: &str, kind: &str) -> Vec<(String, u64)> {
-    let mut tops: Vec<(String, u64)> = Vec::new();
+/// A stream of one kind by the log: the control node that publishes it, and its incarnation.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LoggedStream {
+    pub control: String,
+    pub incarnation: u64,
+}
+
+/// The highest number of a kind that is said to be everywhere, by stream. Each run of a control node has streams of its
+/// own, which number from 1.
+pub fn tops(log: &str, kind: &str) -> BTreeMap<LoggedStream, u64> {
+    let mut tops = BTreeMap::new();
     let lines = log.lines().filter(|line| line.contains("everywhere") && field(line, "kind") == Some(kind));
     for line in lines {
-        let (Some(control), Some(number)) = (field(line, "control"), field(line, "number")) else { continue };
-        let number = number.parse().unwrap();
-        match tops.iter_mut().rev().find(|(name, _)| name == control) {
-            Some((_, top)) if *top <= number => *top = number,
-            _ => tops.push((control.to_string(), number)),
-        }
+        let number = |name| field(line, name).and_then(|value| value.parse::<u64>().ok());
+        let (Some(control), Some(incarnation), Some(number)) =
+            (field(line, "control"), number("incarnation"), number("number"))
+        else {
+            continue;
+        };
+        let stream = LoggedStream { control: control.to_string(), incarnation };
+        let top = tops.entry(stream).or_insert(number);
+        *top = number.max(*top);
     }
     tops
 }
