An answer that arrived whole outlives a failed write on its connection

Callers would have seen 502, 503 or a second attempt where a host had answered and then reset the connection, with something else about to be written on it.

Cause: a connection to a host reads once, 4 kB at first, and then writes; where the write failed it ended at once, the rest of a longer answer unread. The outcome hung on how much had been read, as with what lies behind a client's request.

Change: after a failed write the connection reads what had arrived to its end; no more can come on it, so that is bounded by the system's buffer.

--- a/crates/rockflow-dispatcher/src/upstream/connection.rs
+++ b/crates/rockflow-dispatcher/src/upstream/connection.rs
@@ -257,7 +257,7 @@
                         return Ok(wrote);
                     }
                     Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                    Err(error) => return Err(self.lost(ConnectionError::Io(error))),
+                    Err(error) => return Err(self.on_write_failed(error)),
                 }
             }
             let Some(attempt) = self.waiting.pop_front() else { return Ok(wrote) };
@@ -292,12 +292,24 @@
                 match error.kind() {
                     ErrorKind::WouldBlock => Ok(SendOutcome::Blocked),
                     ErrorKind::Interrupted => Ok(SendOutcome::Done),
-                    _ => Err(self.lost(ConnectionError::Io(error))),
+                    _ => Err(self.on_write_failed(error)),
                 }
             }
         }
     }
 
+    /// Guards against a response that arrived before the host closed and is lost with the connection because it had not been
+    /// read completely.
+    fn on_write_failed(&mut self, error: std::io::Error) -> ConnectionError {
+        loop {
+            match self.read() {
+                Ok(true) => {}
+                Ok(false) => return self.lost(ConnectionError::Io(error)),
+                Err(end) => return end,
+            }
+        }
+    }
+
     fn check_unsent(&self) -> Result<(), ConnectionError> {
         let waiting = self.waiting.iter().map(|attempt| attempt.line.len()).sum::<usize>();
         if self.unsent.len() + waiting > self.pool.max_unsent_bytes {
--- a/crates/rockflow-dispatcher/tests/upstream.rs
+++ b/crates/rockflow-dispatcher/tests/upstream.rs
@@ -248,3 +248,27 @@
     assert!(rested >= Duration::from_millis(400), "{rested:?}");
     assert!(fixture.connection.is_open());
 }
+
+/// Guards against an answer that has arrived whole and is lost because a write fails before all of it is read.
+#[test]
+fn response_that_arrived_before_a_reset_is_passed_on() {
+    let _alone = alone();
+    let mut fixture = Fixture::new();
+    let (first, second) = (fixture.small_attempt(1), fixture.small_attempt(2));
+    fixture.hand_over(&first);
+    assert!(fixture.read_line().contains(&first.id));
+    assert_eq!(fixture.read_line(), "\r\n");
+    let gate = WorkerGate::close();
+    fixture.hand_over(&second);
+    let body = "x".repeat(20_000);
+    let answer = format!("{} data ver=t {}\r\n{body}\r\n", first.id, body.len());
+    fixture.peer.get_mut().write_all(answer.as_bytes()).unwrap();
+    socket2::SockRef::from(fixture.peer.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    let Fixture { peer, decisions, .. } = fixture;
+    // With no time to linger, the close resets the connection.
+    drop(peer);
+    drop(gate);
+    let response = await_some("a word to the module", || decisions.take());
+    let DecisionMessage::ResponseReceived { key, response } = response else { panic!("another word") };
+    assert_eq!((key, response.body.len()), (first.key, body.len()));
+}
