An answer stands still only where nothing of it is left to read

Cause: a connection to a host asked how long its answer had stood still before it read. Evidence: found by reading on from what lies behind a request; forced by a gate, half an answer is read, the rest arrives while nothing runs for 1.1 s of 1 s allowed: response_that_arrived_while_nothing_was_read_is_not_stalled failed before ("a word to the module", 5 s).

Change: it reads first and judges where nothing was there. The test passes, and so does the dispatcher's whole suite.

--- a/crates/rockflow-dispatcher/src/upstream/connection.rs
+++ b/crates/rockflow-dispatcher/src/upstream/connection.rs
@@ -155,8 +155,11 @@
     /// Reads, takes an attempt from the queue, and writes. Reads first: a host that has closed is not written to, so that
     /// what waits goes on another connection.
     fn transfer(&mut self) -> Result<bool, ConnectionError> {
-        self.check_progress()?;
         let read = self.read()?;
+        // Only where nothing is left to read has a response stopped: what had arrived may just not have been read in time.
+        if !read {
+            self.check_progress()?;
+        }
         let took = self.take_queued();
         let wrote = self.write()?;
         Ok(read | took | wrote)
--- a/crates/rockflow-dispatcher/tests/upstream.rs
+++ b/crates/rockflow-dispatcher/tests/upstream.rs
@@ -272,3 +272,22 @@
     let DecisionMessage::ResponseReceived { key, response } = response else { panic!("another word") };
     assert_eq!((key, response.body.len()), (first.key, body.len()));
 }
+
+/// Guards against an answer that is taken for one that stands still because it was not read in time.
+#[test]
+fn response_that_arrived_while_nothing_was_read_is_not_stalled() {
+    let _alone = alone();
+    let mut fixture = Fixture::new();
+    let attempt = fixture.small_attempt(1);
+    fixture.hand_over(&attempt);
+    assert!(fixture.read_line().contains(&attempt.id));
+    assert_eq!(fixture.read_line(), "\r\n");
+    let head = format!("{} data ver=t 6\r\nhal", attempt.id);
+    fixture.peer.get_mut().write_all(head.as_bytes()).unwrap();
+    await_some("its start is read", || fixture.connection.is_receiving().then_some(()));
+    let gate = WorkerGate::close();
+    fixture.peer.get_mut().write_all(b"ves\r\n").unwrap();
+    std::thread::sleep(fixture.pool.connect_timeout + Duration::from_millis(100));
+    drop(gate);
+    assert_eq!(fixture.await_response(), attempt.key);
+}
