Soak: many requests behind one, and one behind another that comes in two pieces

Need: what lies behind a request is decided anew, so the soak plays it harder: up to 20 whole requests behind one, each of which is owed its answer in its turn, and a request behind another whose end comes later; that one may be cut off by the end of the connection, as its last byte had not come.

--- a/crates/rockflow-benchmarks/src/soak/client.rs
+++ b/crates/rockflow-benchmarks/src/soak/client.rs
@@ -18,6 +18,9 @@
 const READ_PAST_PATIENCE: Duration = Duration::from_secs(1);
 /// How long nothing may follow an answer behind which bytes were sent; a request that is never whole is given up after 2 s.
 const WATCH_FOR_SECOND_ANSWER: Duration = Duration::from_millis(2500);
+/// Requests that are sent behind another at once, and the longest patience of each where there are several.
+const MAX_PIPELINED: u64 = 20;
+const MAX_PIPELINED_PATIENCE_MS: u64 = 300;
 const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
 
 /// What the clients of a run share.
@@ -49,8 +52,10 @@
     InPieces,
     /// With bytes that are no request behind it.
     BytesBehind(usize),
-    /// With another request behind it.
-    Pipelined,
+    /// With so many other requests behind it.
+    Pipelined(u64),
+    /// With another request behind it, whose end comes later.
+    PipelinedInPieces,
     /// Leaves after so long.
     Leaves(Duration),
     /// Resets the connection after so long.
@@ -118,7 +123,11 @@
                 let sizes = [1, 10, 1000, 3000, 8500, 20_000, 100_000];
                 Behaviour::BytesBehind(sizes[self.rng.between(0, 6) as usize])
             }
-            4 => Behaviour::Pipelined,
+            4 => match self.rng.between(0, 3) {
+                0 => Behaviour::Pipelined(self.rng.between(2, MAX_PIPELINED)),
+                1 => Behaviour::PipelinedInPieces,
+                _ => Behaviour::Pipelined(1),
+            },
             5 => Behaviour::Leaves(Duration::from_millis(self.rng.between(0, 40))),
             6 => Behaviour::Resets(Duration::from_millis(self.rng.between(0, 40))),
             7 => Behaviour::LeavesWithinHead,
@@ -129,12 +138,16 @@
     }
 
     fn new_request(&mut self) -> Request {
+        let patience =
+            if self.rng.chance(0.3) { self.rng.between(60, 400) } else { self.rng.between(1000, 3000) };
+        self.new_request_with(patience)
+    }
+
+    fn new_request_with(&mut self, patience: u64) -> Request {
         let id = self.rng.number();
         let object = format!("{:04x}", self.rng.between(0, OBJECTS - 1));
         let is_notice = self.rng.chance(0.4);
         let class = if is_notice { "notices" } else { "pages" };
-        let patience =
-            if self.rng.chance(0.3) { self.rng.between(60, 400) } else { self.rng.between(1000, 3000) };
         let text = format!(
             "GET /invoke/{class}/{object}?part=0 HTTP/1.1\r\nHost: h\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: \
              {patience}\r\nX-Group: 1\r\n\r\n"
@@ -152,32 +165,30 @@
             let _ = connection.stream.write_all(half).await;
             return None;
         }
-        let second = (behaviour == Behaviour::Pipelined).then(|| self.new_request());
+        let following = self.following_requests(behaviour);
         let mut bytes = request.text.clone().into_bytes();
         if let Behaviour::BytesBehind(count) = behaviour {
             bytes.extend(std::iter::repeat_n(b'x', count));
         }
-        if let Some(second) = &second {
-            bytes.extend_from_slice(second.text.as_bytes());
-        }
-        if behaviour == Behaviour::InPieces {
-            let cut = self.rng.between(1, bytes.len() as u64 - 1) as usize;
+        following.iter().for_each(|next| bytes.extend_from_slice(next.text.as_bytes()));
+        if let Some(cut) = self.choose_cut(behaviour, request.text.len(), bytes.len()) {
             connection.stream.write_all(&bytes[..cut]).await.ok()?;
+            if cut >= request.text.len() {
+                self.on_sent(&request);
+            }
             tokio::time::sleep(Duration::from_millis(self.rng.between(1, 20))).await;
             bytes.drain(..cut);
         }
         let was_used = connection.is_used;
-        for sent in [Some(&request), second.as_ref()].into_iter().flatten() {
-            self.context.ledger.borrow_mut().on_sent(sent.id, sent.is_at_most_once);
+        if behaviour != Behaviour::PipelinedInPieces {
+            self.on_sent(&request);
         }
         let sent_at = Instant::now();
-        if connection.stream.write_all(&bytes).await.is_err()
-            && !matches!(behaviour, Behaviour::BytesBehind(_))
-        {
+        let written = connection.stream.write_all(&bytes).await;
+        following.iter().for_each(|next| self.on_sent(next));
+        let is_closed = written.is_err() && matches!(behaviour, Behaviour::Whole | Behaviour::InPieces);
+        if is_closed {
             self.on_closed(&request, sent_at, was_used);
-            if let Some(second) = &second {
-                self.on_closed(second, sent_at, was_used);
-            }
             return None;
         }
         match behaviour {
@@ -201,22 +212,59 @@
                 self.check_unread(&connection, Some(request.id));
                 None
             }
-            Behaviour::Pipelined => {
-                let connection = self.await_answer(connection, &request, sent_at, was_used).await;
-                let second = second?;
-                match connection {
-                    // Its time counts from the answer before: one request at a time.
-                    Some(connection) => self.await_answer(connection, &second, Instant::now(), true).await,
-                    None => {
-                        self.on_closed(&second, sent_at, was_used);
-                        None
-                    }
+            Behaviour::Pipelined(_) | Behaviour::PipelinedInPieces => {
+                let mut kept = self.await_answer(connection, &request, sent_at, was_used).await;
+                for next in &following {
+                    kept = match kept {
+                        // Its time counts from the answer before: one request at a time.
+                        Some(connection) => self.await_answer(connection, next, Instant::now(), true).await,
+                        None => {
+                            self.on_cut_off(behaviour, next, sent_at);
+                            None
+                        }
+                    };
                 }
+                kept
             }
             _ => self.await_answer(connection, &request, sent_at, was_used).await,
         }
     }
 
+    /// The requests that are sent behind another.
+    fn following_requests(&mut self, behaviour: Behaviour) -> Vec<Request> {
+        match behaviour {
+            Behaviour::Pipelined(1) | Behaviour::PipelinedInPieces => vec![self.new_request()],
+            Behaviour::Pipelined(count) => {
+                let patience = self.rng.between(60, MAX_PIPELINED_PATIENCE_MS);
+                (0..count).map(|_| self.new_request_with(patience)).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Where the bytes are cut in two pieces, if they are.
+    fn choose_cut(&mut self, behaviour: Behaviour, first: usize, all: usize) -> Option<usize> {
+        let lowest = match behaviour {
+            Behaviour::InPieces => 1,
+            Behaviour::PipelinedInPieces => first,
+            _ => return None,
+        };
+        Some(self.rng.between(lowest as u64, all as u64 - 1) as usize)
+    }
+
+    /// The answer before this request ended the connection.
+    fn on_cut_off(&self, behaviour: Behaviour, request: &Request, sent_at: Instant) {
+        // Its end had not come when the connection was ended: "one request at a time on a connection".
+        if behaviour == Behaviour::PipelinedInPieces && !self.is_killed(sent_at) {
+            return self.end(request, RequestEnd::CrossedClose);
+        }
+        self.on_closed(request, sent_at, true);
+    }
+
+    fn on_sent(&self, request: &Request) {
+        self.context.ledger.borrow_mut().on_sent(request.id, request.is_at_most_once);
+    }
+
     async fn leave(&mut self, connection: Connection, request: &Request, after: Duration, resets: bool) {
         tokio::time::sleep(after).await;
         if resets {
