--- a/review/stand-ins/pipelined.rs
+++ b/review/stand-ins/pipelined.rs
@@ -81,7 +81,10 @@
     let is_running = dispatcher.end(&record);
     record.line(&format!("result: {lost} requests lost, dispatcher running: {is_running}"));
     println!("{lost} requests lost");
-    if lost > 0 || !is_running {
+    if !is_running {
+        unable("the dispatcher had ended by itself");
+    }
+    if lost > 0 {
         Verdict::Broken
     } else {
         Verdict::Held
--- a/review/stand-ins/slow_board.rs
+++ b/review/stand-ins/slow_board.rs
@@ -74,11 +74,12 @@
     );
     record.line(&format!("result: {summary}"));
     println!("{summary}");
-    if !is_running || !late.is_empty() {
-        return Verdict::Broken;
+    // Neither is a matter of the rule on drains.
+    if !is_running || answered < 100 {
+        unable("the dispatcher had ended, or too few requests were answered");
     }
-    if answered < 100 {
-        unable("too few requests were answered");
+    if !late.is_empty() {
+        return Verdict::Broken;
     }
     Verdict::Held
 }
@@ -108,6 +109,7 @@
                         }
                         let object = format!("{:016x}", (number * 4 + client) % 100);
                         let request = requests.next(&object, Duration::from_secs(3), 388.0);
+                        record.line(&format!("client {client}: sent {} for {object}", request.id));
                         stream.get_mut().write_all(request.text.as_bytes()).unwrap();
                         let answer = read_answer(&mut stream).ok().flatten();
                         let status = answer.as_ref().map_or(0, |answer| answer.status);
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -338,10 +338,17 @@
     }
 }
 
-/// Ends this run with 2: the case could not run.
+/// Ends this run without a verdict: the case could not run. Unwinds, so that the dispatcher is ended as well.
 pub fn unable(why: &str) -> ! {
-    eprintln!("could not run: {why}");
-    std::process::exit(2)
+    panic!("could not run: {why}")
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
 }
 
 fn configuration(site: &Site, listen: SocketAddr) -> String {
