Discovery: the log tells an overdue response from an event stream that fell silent

Change: 'no response in time' until the service has begun its event stream (a line behind the head), 'nothing received for too long' after that. Same limits, nothing else changes. The connection and the reasons of its end are modules of their own; one transfer writes the rest of the request and reads, in place of one step at a time.

The tests of the dispatcher and of the protocol pass (scenarios, crossings, discovery among them).

--- a/crates/rockflow-dispatcher/src/discovery/mod.rs
+++ b/crates/rockflow-dispatcher/src/discovery/mod.rs
@@ -1,33 +1,31 @@
 //! The client of the discovery service: reads its event stream and forwards each event once, in order.
 
 pub mod clock;
+mod connection;
 pub mod message;
 mod silence;
 mod status;
+mod stream_end;
 
 pub use silence::SilenceDetector;
 pub use status::{DiscoveryStatus, SharedDiscoveryStatus};
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::discovery::connection::{Connection, Transfer};
 use crate::discovery::message::DiscoveryMessage;
+use crate::discovery::stream_end::StreamEnd;
 use crate::endpoint_list::message::EndpointListMessage;
 use crate::mailbox::{Mailbox, Wake};
 use crate::timer;
 use may::coroutine;
-use may::io::WaitIo;
 use may::net::TcpStream;
-use rockflow_protocol::discovery::{self, DecodeError, WatchEvent, WatchStream};
-use rockflow_protocol::Buffer;
-use std::io::{ErrorKind, Read, Write};
+use rockflow_protocol::discovery::WatchEvent;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use thiserror::Error;
 use tracing::{error, info, warn};
 
-/// The service sends a comment every second, so a stream without any bytes for more than two seconds is dead.
-const STREAM_SILENCE_LIMIT: Duration = Duration::from_millis(2300);
 /// Upper limit of the time to connect; short drain times lower it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The backoff before reconnecting doubles with each failure, from the minimum to the maximum, before jitter.
@@ -38,27 +36,6 @@
 /// A connection attempt, or the backoff before it, lasts at most the drain timeout divided by this.
 const DRAIN_TIMEOUT_DIVISOR: u32 = 4;
 
-/// Why an event stream ended.
-#[derive(Debug, Error)]
-enum StreamEnd {
-    #[error("the address of the service has changed")]
-    AddressChanged,
-    #[error("closed by the service")]
-    EndOfStream,
-    #[error("connecting failed: {0}")]
-    ConnectFailed(#[source] std::io::Error),
-    #[error("the response head or a chunk header is too long")]
-    OversizedFraming,
-    #[error("nothing received for too long")]
-    Silent,
-    #[error("{0}")]
-    Io(#[source] std::io::Error),
-    #[error("{0}")]
-    Malformed(#[from] DecodeError),
-    #[error("events {first} to {last} are missing")]
-    MissingEvents { first: u64, last: u64 },
-}
-
 /// Actor that owns the connection to the discovery service.
 pub struct DiscoveryClient {
     clock: Clock,
@@ -165,39 +142,28 @@
         }
     }
 
-    /// Connects without setting socket timeouts, which not every platform supports. Silence of the stream is
-    /// detected in `poll_connection` instead.
     fn connect(&mut self) -> std::io::Result<Connection> {
-        let stream =
-            TcpStream::connect_timeout(&self.address, self.limited_by_drain_timeout(CONNECT_TIMEOUT))?;
-        self.mailbox.wake_by(Wake::Io(stream.waker()));
-        Ok(Connection {
-            stream,
-            unwritten: discovery::encode_watch_request(&self.address.to_string(), self.last_revision),
-            buffer: Buffer::new(discovery::MAX_EVENT_BYTES),
-            decoder: WatchStream::default(),
-            last_received: self.clock.now(),
-        })
+        let timeout = self.limited_by_drain_timeout(CONNECT_TIMEOUT);
+        let stream = TcpStream::connect_timeout(&self.address, timeout)?;
+        let connection = Connection::new(stream, self.address, self.last_revision, self.clock.now());
+        self.mailbox.wake_by(Wake::Io(connection.waker()));
+        Ok(connection)
     }
 
-    /// Performs one write or read, or waits until the socket is ready for it.
+    /// Processes what has arrived, or waits until something may have.
     fn poll_connection(&mut self, connection: &mut Connection) -> Result<(), StreamEnd> {
-        match connection.transfer()? {
-            Transfer::Retry => {}
+        let now = self.clock.now();
+        match connection.transfer(now)? {
             Transfer::Received => {
-                connection.last_received = self.clock.now();
-                self.on_received(connection.last_received);
-                self.forward_events(connection)?;
+                self.on_received(now);
+                self.forward_events(connection)
             }
             Transfer::Blocked => {
-                let silence = self.clock.now().saturating_sub(connection.last_received);
-                if silence > STREAM_SILENCE_LIMIT {
-                    return Err(StreamEnd::Silent);
-                }
-                connection.stream.wait_io();
+                connection.check_progress(now)?;
+                connection.wait();
+                Ok(())
             }
         }
-        Ok(())
     }
 
     fn on_received(&mut self, now: Duration) {
@@ -220,15 +186,14 @@
     /// Forwards all complete events, including those that precede a decoding error.
     fn forward_events(&mut self, connection: &mut Connection) -> Result<(), StreamEnd> {
         let mut events = Vec::new();
-        let decoded = connection.decoder.decode(connection.buffer.filled(), &mut events);
+        let decoded = connection.decode(&mut events);
         for event in events {
             self.forward_event(event)?;
         }
-        if connection.decoder.has_unreadable_event() {
+        if connection.has_unreadable_event() {
             self.skip_repeated_malformed_event();
         }
-        connection.buffer.consume(decoded?);
-        Ok(())
+        Ok(decoded?)
     }
 
     fn forward_event(&mut self, event: WatchEvent) -> Result<(), StreamEnd> {
@@ -265,53 +230,3 @@
         self.status.set_revision(revision);
     }
 }
-
-/// A connection to the discovery service.
-struct Connection {
-    stream: TcpStream,
-    /// Remainder of the watch request.
-    unwritten: Vec<u8>,
-    buffer: Buffer,
-    decoder: WatchStream,
-    /// When bytes were last received; initially, when the connection was established.
-    last_received: Duration,
-}
-
-/// Outcome of one write or read.
-enum Transfer {
-    /// Bytes were received.
-    Received,
-    /// Nothing was received; the next transfer may be attempted immediately.
-    Retry,
-    /// The socket is not ready.
-    Blocked,
-}
-
-impl Connection {
-    fn transfer(&mut self) -> Result<Transfer, StreamEnd> {
-        let result = if self.unwritten.is_empty() { self.read() } else { self.write() };
-        match result {
-            Ok(transfer) => Ok(transfer),
-            Err(StreamEnd::Io(error)) if error.kind() == ErrorKind::WouldBlock => Ok(Transfer::Blocked),
-            Err(StreamEnd::Io(error)) if error.kind() == ErrorKind::Interrupted => Ok(Transfer::Retry),
-            Err(end) => Err(end),
-        }
-    }
-
-    fn write(&mut self) -> Result<Transfer, StreamEnd> {
-        let written = self.stream.inner().write(&self.unwritten).map_err(StreamEnd::Io)?;
-        self.unwritten.drain(..written);
-        Ok(Transfer::Retry)
-    }
-
-    fn read(&mut self) -> Result<Transfer, StreamEnd> {
-        let spare = self.buffer.spare().ok_or(StreamEnd::OversizedFraming)?;
-        match self.stream.inner().read(spare).map_err(StreamEnd::Io)? {
-            0 => Err(StreamEnd::EndOfStream),
-            length => {
-                self.buffer.commit(length);
-                Ok(Transfer::Received)
-            }
-        }
-    }
-}
--- a/crates/rockflow-protocol/src/discovery.rs
+++ b/crates/rockflow-protocol/src/discovery.rs
@@ -152,16 +152,28 @@
     line: Vec<u8>,
     /// The data of the current event, from its complete lines.
     data: String,
+    has_received_line: bool,
     has_unreadable_event: bool,
 }
 
 impl Default for WatchStream {
     fn default() -> Self {
-        WatchStream { stage: Stage::Head, line: Vec::new(), data: String::new(), has_unreadable_event: false }
+        WatchStream {
+            stage: Stage::Head,
+            line: Vec::new(),
+            data: String::new(),
+            has_received_line: false,
+            has_unreadable_event: false,
+        }
     }
 }
 
 impl WatchStream {
+    /// Whether a line of the event stream has been received, be it part of an event or a comment.
+    pub fn has_received_line(&self) -> bool {
+        self.has_received_line
+    }
+
     /// Whether the last complete event could not be read.
     pub fn has_unreadable_event(&self) -> bool {
         self.has_unreadable_event
@@ -250,6 +262,7 @@
     }
 
     fn decode_line(&mut self, line: &[u8], events: &mut Vec<WatchEvent>) -> Result<(), DecodeError> {
+        self.has_received_line = true;
         let line = std::str::from_utf8(line).map_err(|_| DecodeError::NotUtf8)?.trim_end_matches('\r');
         if let Some(data) = line.strip_prefix("data:") {
             self.data += data.strip_prefix(' ').unwrap_or(data);
