A request to a slow discovery service is kept while it is sent again

Cause: discovery/mod.rs, poll_connection: the 2.3 s without a byte that show that an open event stream is dead also ended the wait for its first byte, each time anew, so that no response was ever read. Ruled out: connects (none failed), the decoder (nothing had arrived).

Change: the request is sent again as before, but the first connection is kept beside the second one, at most one, for 7 s, the longest that an event may take to arrive; twice as long each time that this was too short, up to a minute. Whichever event stream begins first is used. Why that works: a slow response is waited for, however slow, and where a connection was cut off the second request goes out as soon as before, so nothing is received later than it was. A response head alone is not yet an event stream, as a proxy may send it at once.

--- a/crates/rockflow-dispatcher/src/discovery/connection.rs
+++ b/crates/rockflow-dispatcher/src/discovery/connection.rs
@@ -21,6 +21,7 @@
     unwritten: Vec<u8>,
     buffer: Buffer,
     decoder: WatchStream,
+    established_at: Duration,
     /// When bytes were last received; initially, when the connection was established.
     last_received: Duration,
 }
@@ -47,6 +48,7 @@
             unwritten: discovery::encode_watch_request(&address.to_string(), last_revision),
             buffer: Buffer::new(discovery::MAX_EVENT_BYTES),
             decoder: WatchStream::default(),
+            established_at: now,
             last_received: now,
         }
     }
@@ -86,6 +88,11 @@
         Ok(())
     }
 
+    /// How long ago the connection was established.
+    pub(super) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.established_at)
+    }
+
     /// Whether the service has begun its event stream. A response head alone is no sign of that: a proxy may send it
     /// while the service behind it is still busy.
     pub(super) fn has_begun(&self) -> bool {
--- a/crates/rockflow-dispatcher/src/discovery/mod.rs
+++ b/crates/rockflow-dispatcher/src/discovery/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 mod connection;
 pub mod message;
+mod overdue;
 mod silence;
 mod status;
 mod stream_end;
@@ -14,6 +15,7 @@
 use crate::config::Config;
 use crate::discovery::connection::{Connection, Transfer};
 use crate::discovery::message::DiscoveryMessage;
+use crate::discovery::overdue::OverdueConnection;
 use crate::discovery::stream_end::StreamEnd;
 use crate::endpoint_list::message::EndpointListMessage;
 use crate::mailbox::{Mailbox, Wake};
@@ -21,6 +23,7 @@
 use may::coroutine;
 use may::net::TcpStream;
 use rockflow_protocol::discovery::WatchEvent;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,7 +39,7 @@
 /// A connection attempt, or the backoff before it, lasts at most the drain timeout divided by this.
 const DRAIN_TIMEOUT_DIVISOR: u32 = 4;
 
-/// Actor that owns the connection to the discovery service.
+/// Actor that owns the connections to the discovery service: the current one, and one with an overdue response.
 pub struct DiscoveryClient {
     clock: Clock,
     address: SocketAddr,
@@ -48,6 +51,7 @@
     status: Arc<SharedDiscoveryStatus>,
     rng: oorandom::Rand64,
     silence: SilenceDetector,
+    overdue: OverdueConnection,
     /// First revision of the last gap for which the events were requested again.
     requested_gap: Option<u64>,
     /// Revision of the last malformed event that was requested again.
@@ -67,6 +71,7 @@
             status: SharedDiscoveryStatus::new(address, last_revision),
             rng: oorandom::Rand64::new(u128::from(config.seed)),
             silence: SilenceDetector::new(clock.now(), config.network_settings.drain_timeout),
+            overdue: OverdueConnection::new(),
             requested_gap: None,
             requested_malformed: None,
         }
@@ -87,7 +92,7 @@
         let mut backoff = MIN_BACKOFF;
         loop {
             let (revision_before, address_before) = (self.last_revision, self.address);
-            let end = self.watch_events();
+            let Err(end) = self.watch_events();
             info!(reason = %end, revision = self.last_revision, "discovery connection ended");
             self.check_silence();
             let has_succeeded = self.last_revision > revision_before || self.address != address_before;
@@ -97,11 +102,15 @@
         }
     }
 
+    /// Waits until the service may be called again, its address has changed, or an overdue response has arrived.
     fn wait_backoff(&mut self, backoff: Duration) {
         let random_share = (1.0 - FIXED_BACKOFF_SHARE) * self.rng.rand_float();
         let until = self.clock.now() + backoff.mul_f64(FIXED_BACKOFF_SHARE + random_share);
         self.mailbox.wake_by(Wake::Park(coroutine::current()));
         while self.clock.now() < until && !self.has_address_changed() {
+            if self.overdue.poll(self.clock.now()) {
+                return;
+            }
             timer::park(MIN_BACKOFF);
             self.check_silence();
         }
@@ -122,26 +131,45 @@
                 self.status.set_address(address);
             }
         }
-        self.address != old_address
+        let has_changed = self.address != old_address;
+        if has_changed {
+            self.overdue.close();
+        }
+        has_changed
     }
 
     /// Connects, and forwards events until the stream ends.
-    fn watch_events(&mut self) -> StreamEnd {
-        let mut connection = match self.connect() {
-            Ok(connection) => connection,
-            Err(error) => return StreamEnd::ConnectFailed(error),
+    fn watch_events(&mut self) -> Result<Infallible, StreamEnd> {
+        let mut connection = match self.overdue.take_answered(self.clock.now()) {
+            Some(answered) => self.resume(answered)?,
+            None => self.connect().map_err(StreamEnd::ConnectFailed)?,
         };
         loop {
             if self.has_address_changed() {
-                return StreamEnd::AddressChanged;
+                return Err(StreamEnd::AddressChanged);
             }
             self.check_silence();
+            if let Some(answered) = self.overdue.take_answered(self.clock.now()) {
+                connection = self.resume(answered)?;
+            }
             if let Err(end) = self.poll_connection(&mut connection) {
-                return end;
+                if matches!(end, StreamEnd::ResponseOverdue) {
+                    self.overdue.keep(connection);
+                }
+                return Err(end);
             }
         }
     }
 
+    /// Makes a connection the current one whose response was overdue and has arrived.
+    fn resume(&mut self, mut connection: Connection) -> Result<Connection, StreamEnd> {
+        let now = self.clock.now();
+        info!(response_seconds = connection.age(now).as_secs_f64(), "overdue response of discovery received");
+        self.mailbox.wake_by(Wake::Io(connection.waker()));
+        self.process_received(&mut connection, now)?;
+        Ok(connection)
+    }
+
     fn connect(&mut self) -> std::io::Result<Connection> {
         let timeout = self.limited_by_drain_timeout(CONNECT_TIMEOUT);
         let stream = TcpStream::connect_timeout(&self.address, timeout)?;
@@ -154,10 +182,7 @@
     fn poll_connection(&mut self, connection: &mut Connection) -> Result<(), StreamEnd> {
         let now = self.clock.now();
         match connection.transfer(now)? {
-            Transfer::Received => {
-                self.on_received(now);
-                self.forward_events(connection)
-            }
+            Transfer::Received => self.process_received(connection, now),
             Transfer::Blocked => {
                 connection.check_progress(now)?;
                 connection.wait();
@@ -166,6 +191,15 @@
         }
     }
 
+    fn process_received(&mut self, connection: &mut Connection, now: Duration) -> Result<(), StreamEnd> {
+        self.on_received(now);
+        self.forward_events(connection)?;
+        if connection.has_begun() {
+            self.overdue.on_stream_begun();
+        }
+        Ok(())
+    }
+
     fn on_received(&mut self, now: Duration) {
         if let Some(silence) = self.silence.on_received(now) {
             info!(silent_seconds = silence.as_secs_f64(), "discovery reachable again");
--- a/crates/rockflow-dispatcher/tests/crossings.rs
+++ b/crates/rockflow-dispatcher/tests/crossings.rs
@@ -37,6 +37,8 @@
 #[test_case(include_str!("scenarios/crossings/endless-response.txt"); "endless responses")]
 #[test_case(include_str!("scenarios/crossings/silent-discovery-from-start.txt"); "discovery silent from the start")]
 #[test_case(include_str!("scenarios/crossings/discovery-outages.txt"); "a drain right after the return of discovery")]
+// Guards against a request to discovery that is ended before its late response, which reports a drain.
+#[test_case(include_str!("scenarios/crossings/drain-in-late-discovery-response.txt"); "a drain in a late response of discovery")]
 #[test_case(include_str!("scenarios/crossings/drain-idle-connection.txt"); "host drains while a connection to it is idle")]
 #[test_case(include_str!("scenarios/crossings/many-clients-leave.txt"); "many clients leave at once")]
 #[test_case(include_str!("scenarios/crossings/tcp-nodelay.txt"); "small writes are sent without delay")]
