--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -36,13 +36,9 @@
 
     /// Writes the line to the record and to standard output.
     pub fn say(&self, text: impl AsRef<str>) {
-        println!("{}", text.as_ref());
+        let _ = writeln!(std::io::stdout(), "{}", text.as_ref());
         self.line(text);
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.start.elapsed().as_secs_f64()
-    }
 }
 
 /// Ends the case with 2: it couldn't run. `run.sh` ends the processes in the folder's list.
@@ -82,89 +78,67 @@
     builder.spawn(body).unwrap_or_else(|error| cannot_run(&format!("thread: {error}")))
 }
 
-/// Opens or closes a way for all who wait at it.
-#[derive(Default)]
-pub struct Gate {
-    closed: Mutex<bool>,
-    opened: Condvar,
-}
-
-impl Gate {
-    pub fn close(&self) {
-        *self.closed.lock().unwrap() = true;
-    }
-
-    pub fn open(&self) {
-        *self.closed.lock().unwrap() = false;
-        self.opened.notify_all();
-    }
-
-    pub fn wait(&self) {
-        let mut closed = self.closed.lock().unwrap();
-        while *closed {
-            closed = self.opened.wait(closed).unwrap();
-        }
-    }
-}
-
 // ---- cache hosts ----
 
 /// A request line that a host has read.
 #[derive(Clone, Debug)]
 pub struct Want {
     pub id: String,
-    pub class: String,
     pub object: String,
     pub part: u32,
-    pub wait_ms: u64,
-    pub from: Option<String>,
+    /// The oldest copy that will do; `None` if the request doesn't say.
     pub oldest_ms: Option<u64>,
-    pub seen: Option<String>,
     pub line: String,
     pub read_at_ms: u64,
-    pub connection: u64,
 }
 
+/// The answer `data`, with its fields.
 #[derive(Clone)]
-pub enum Reply {
-    /// The word, the fields and the body of an answer.
-    Answer(&'static str, String, Vec<u8>),
-    /// No answer.
-    Nothing,
-    /// The connection is shut.
-    Shut,
+pub struct Data {
+    fields: String,
+    body: Vec<u8>,
+}
+
+/// The time after which hosts end an idle connection, `limits.connIdleUs` of the settings.
+pub const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How a host ends an idle connection.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Idle {
+    /// It closes it.
+    Close,
+    /// It forgets it: nothing goes out, and what still comes in on it is answered with a reset.
+    Forget,
 }
 
-type Handler = dyn Fn(&Want) -> (Duration, Reply) + Send + Sync;
+type Handler = dyn Fn(&Want) -> (Duration, Data) + Send + Sync;
 
 pub struct Host {
     pub name: String,
     pub address: SocketAddr,
-    /// Closed while the host hangs: it neither reads nor answers.
-    pub hang: Arc<Gate>,
-    pub connections: Arc<AtomicU64>,
+    /// The number of requests that the host has read.
     pub wants: Arc<AtomicU64>,
 }
 
 impl Host {
-    pub fn start(name: &str, handler: impl Fn(&Want) -> (Duration, Reply) + Send + Sync + 'static) -> Host {
+    pub fn start(
+        name: &str,
+        idle: Idle,
+        handler: impl Fn(&Want) -> (Duration, Data) + Send + Sync + 'static,
+    ) -> Host {
         let listener =
             TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
         let address = listener.local_addr().unwrap();
-        let hang = Arc::new(Gate::default());
-        let connections = Arc::new(AtomicU64::new(0));
         let wants = Arc::new(AtomicU64::new(0));
         let handler: Arc<Handler> = Arc::new(handler);
-        let (accept_hang, count, want_count) = (hang.clone(), connections.clone(), wants.clone());
+        let count = wants.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
-                accept_hang.wait();
-                let number = count.fetch_add(1, Ordering::Relaxed);
-                let (handler, hang, wants) = (handler.clone(), accept_hang.clone(), want_count.clone());
-                spawn(move || serve_host(stream, number, &handler, &hang, &wants));
+                let (handler, wants) = (handler.clone(), count.clone());
+                spawn(move || serve_host(stream, idle, &handler, &wants));
             }
         });
-        Host { name: name.to_string(), address, hang, connections, wants }
+        Host { name: name.to_string(), address, wants }
     }
 
     /// The entry of the list for this host.
@@ -177,23 +151,25 @@
     }
 }
 
-fn serve_host(
-    stream: TcpStream,
-    connection: u64,
-    handler: &Arc<Handler>,
-    hang: &Arc<Gate>,
-    wants: &Arc<AtomicU64>,
-) {
+fn serve_host(stream: TcpStream, idle: Idle, handler: &Arc<Handler>, wants: &Arc<AtomicU64>) {
     let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(IDLE_LIMIT));
     let writer = Arc::new(Mutex::new(stream.try_clone().unwrap()));
     let cancelled: Arc<Mutex<HashSet<String>>> = Arc::default();
     let mut reader = BufReader::new(stream);
     loop {
         let mut line = String::new();
-        if !matches!(reader.read_line(&mut line), Ok(length) if length > 0) {
-            return;
+        match reader.read_line(&mut line) {
+            Ok(length) if length > 0 => {}
+            Err(_) if idle == Idle::Forget => {
+                // Waits until something comes in, and closes with that unread, which resets the connection.
+                let stream = reader.into_inner();
+                let _ = stream.set_read_timeout(None);
+                let _ = stream.peek(&mut [0]);
+                return;
+            }
+            _ => return,
         }
-        hang.wait();
         let line = line.trim_end().to_string();
         let words: Vec<&str> = line.split(' ').collect();
         match words[..] {
@@ -202,11 +178,11 @@
                 if reader.read_exact(&mut body).is_err() {
                     return;
                 }
-                let want = read_want(&line, id, fields, connection);
+                let want = read_want(&line, id, fields);
                 wants.fetch_add(1, Ordering::Relaxed);
-                let (delay, reply) = handler(&want);
-                let (writer, cancelled, hang) = (writer.clone(), cancelled.clone(), hang.clone());
-                spawn(move || answer(&want.id, delay, reply, &writer, &cancelled, &hang));
+                let (delay, data) = handler(&want);
+                let (writer, cancelled) = (writer.clone(), cancelled.clone());
+                spawn(move || answer(&want.id, delay, &data, &writer, &cancelled));
             }
             ["never_mind", id] => {
                 cancelled.lock().unwrap().insert(id.to_string());
@@ -219,50 +195,34 @@
     }
 }
 
-pub fn read_want(line: &str, id: &str, fields: &str, connection: u64) -> Want {
+pub fn read_want(line: &str, id: &str, fields: &str) -> Want {
     let fields: HashMap<&str, &str> = fields.split(',').filter_map(|field| field.split_once('=')).collect();
     let text = |name: &str| fields.get(name).map(|value| value.to_string());
     Want {
         id: id.to_string(),
-        class: text("c").unwrap_or_default(),
         object: text("k").unwrap_or_default(),
         part: text("p").and_then(|part| part.parse().ok()).unwrap_or(0),
-        wait_ms: text("w").and_then(|wait| wait.parse().ok()).unwrap_or(0),
-        from: text("from"),
         oldest_ms: text("oldest").and_then(|oldest| oldest.parse().ok()),
-        seen: text("seen"),
         line: line.to_string(),
         read_at_ms: unix_ms(),
-        connection,
     }
 }
 
 fn answer(
     id: &str,
     delay: Duration,
-    reply: Reply,
+    data: &Data,
     writer: &Mutex<TcpStream>,
     cancelled: &Mutex<HashSet<String>>,
-    hang: &Gate,
 ) {
     std::thread::sleep(delay);
-    hang.wait();
     if cancelled.lock().unwrap().remove(id) {
         return;
     }
-    let mut writer = writer.lock().unwrap();
-    match reply {
-        Reply::Answer(word, fields, body) => {
-            let mut bytes = format!("{id} {word} {fields} {}\r\n", body.len()).into_bytes();
-            bytes.extend_from_slice(&body);
-            bytes.extend_from_slice(b"\r\n");
-            let _ = writer.write_all(&bytes);
-        }
-        Reply::Nothing => {}
-        Reply::Shut => {
-            let _ = writer.shutdown(std::net::Shutdown::Both);
-        }
-    }
+    let mut bytes = format!("{id} data {} {}\r\n", data.fields, data.body.len()).into_bytes();
+    bytes.extend_from_slice(&data.body);
+    bytes.extend_from_slice(b"\r\n");
+    let _ = writer.lock().unwrap().write_all(&bytes);
 }
 
 /// The bytes of a part, which only this function makes.
@@ -272,9 +232,9 @@
 }
 
 /// A whole answer with a copy that the origin gave out now.
-pub fn data(want: &Want, length: usize) -> Reply {
+pub fn data(want: &Want, length: usize) -> Data {
     let fields = format!("ver=v{:016x},born={},note=warm", want.part, unix_ms());
-    Reply::Answer("data", fields, body_of(&want.object, want.part, length))
+    Data { fields, body: body_of(&want.object, want.part, length) }
 }
 
 // ---- the notice board ----
@@ -290,8 +250,6 @@
     events: Arc<(Mutex<Events>, Condvar)>,
     /// Polls received, with the last number that each names.
     pub polls: Arc<Mutex<Vec<u64>>>,
-    /// New connections are not answered while this is set.
-    pub mute: Arc<AtomicBool>,
     /// While this is set, new connections are closed at once.
     down: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
@@ -304,10 +262,9 @@
         let address = listener.local_addr().unwrap();
         let events: Arc<(Mutex<Events>, Condvar)> = Arc::default();
         let polls: Arc<Mutex<Vec<u64>>> = Arc::default();
-        let mute = Arc::new(AtomicBool::new(false));
         let (down, streams) =
             (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::<TcpStream>::new())));
-        let (shared, shared_polls, shared_mute) = (events.clone(), polls.clone(), mute.clone());
+        let (shared, shared_polls) = (events.clone(), polls.clone());
         let (shared_down, shared_streams) = (down.clone(), streams.clone());
         spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -315,11 +272,11 @@
                     continue;
                 }
                 shared_streams.lock().unwrap().push(stream.try_clone().unwrap());
-                let (events, polls, mute) = (shared.clone(), shared_polls.clone(), shared_mute.clone());
-                spawn(move || serve_board(stream, &events, &polls, &mute));
+                let (events, polls) = (shared.clone(), shared_polls.clone());
+                spawn(move || serve_board(stream, &events, &polls));
             }
         });
-        Board { address, events, polls, mute, down, streams }
+        Board { address, events, polls, down, streams }
     }
 
     /// Ends all connections and takes no more.
@@ -341,12 +298,7 @@
     }
 }
 
-fn serve_board(
-    mut stream: TcpStream,
-    events: &(Mutex<Events>, Condvar),
-    polls: &Mutex<Vec<u64>>,
-    mute: &AtomicBool,
-) {
+fn serve_board(mut stream: TcpStream, events: &(Mutex<Events>, Condvar), polls: &Mutex<Vec<u64>>) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut last = 0;
     loop {
@@ -364,9 +316,6 @@
         }
     }
     polls.lock().unwrap().push(last);
-    while mute.load(Ordering::Relaxed) {
-        std::thread::sleep(20 * MS);
-    }
     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: hello\n\n";
     if stream.write_all(head.as_bytes()).is_err() {
         return;
@@ -516,9 +465,7 @@
 
 /// A running dispatcher, which is killed when this is dropped.
 pub struct Dispatcher {
-    pub name: String,
     pub address: SocketAddr,
-    pub config_path: String,
     child: Child,
 }
 
@@ -547,7 +494,7 @@
             .spawn()
             .unwrap_or_else(|error| cannot_run(&error.to_string()));
         list_process(child.id(), true);
-        Dispatcher { name: name.to_string(), address, config_path, child }
+        Dispatcher { address, child }
     }
 
     /// Waits until a health check is answered with 200.
@@ -565,10 +512,6 @@
         cannot_run("a dispatcher is not ready");
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/review/stand-ins-2/host_process.rs
+++ b/review/stand-ins-2/host_process.rs
@@ -78,6 +78,7 @@
 /// Answers each request at once.
 fn serve(stream: TcpStream, host: usize, object_bytes: usize, copies: &Mutex<Copies>) {
     let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(IDLE_LIMIT));
     let mut writer = stream.try_clone().unwrap();
     let mut reader = BufReader::new(stream);
     loop {
@@ -91,7 +92,7 @@
             ["want", id, fields, _] => {
                 let mut end = String::new();
                 let _ = reader.read_line(&mut end);
-                let want = read_want(line, id, fields, 0);
+                let want = read_want(line, id, fields);
                 let born = copies.lock().unwrap().born(host, &want.object, want.oldest_ms);
                 println!("{} {host} {line}", want.read_at_ms);
                 let mut answer =
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,9 +3,11 @@
 
 mod common;
 mod fleet;
+mod forgotten;
 mod host_process;
 mod pipelined;
 mod release;
+mod rude;
 
 use common::{cannot_run, limit_time, Record};
 use std::time::Duration;
@@ -24,6 +26,8 @@
     let record = Record::create(path);
     limit_time(LONGEST);
     let held = match name {
+        "forgotten" => forgotten::run(&record),
+        "rude" => rude::run(&record),
         "fleet" => fleet::run(&record),
         "pipelined" => pipelined::run(&record),
         "release" => release::run(&record),
--- a/review/stand-ins-2/pipelined.rs
+++ b/review/stand-ins-2/pipelined.rs
@@ -4,6 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const OBJECT_BYTES: usize = 2_000;
+const PART: u32 = 3;
+
 pub fn run(record: &Arc<Record>) -> bool {
     let commands: usize = std::env::var("COMMANDS").ok().and_then(|count| count.parse().ok()).unwrap_or(100);
     let board = Board::start();
@@ -11,11 +14,13 @@
         let record = record.clone();
         move |want: &Want| {
             record.line(format!("read by {name}: {}", want.line));
-            (5 * MS, data(want, 2000))
+            (5 * MS, data(want, OBJECT_BYTES))
         }
     };
-    let hosts = [Host::start("c1", handler("c1")), Host::start("c2", handler("c2"))];
-    let (parent, origin) = (Host::start("p1", handler("p1")), Host::start("o1", handler("o1")));
+    let hosts =
+        [Host::start("c1", Idle::Close, handler("c1")), Host::start("c2", Idle::Close, handler("c2"))];
+    let (parent, origin) =
+        (Host::start("p1", Idle::Close, handler("p1")), Host::start("o1", Idle::Close, handler("o1")));
     let entries = [
         hosts[0].entry("box", "shop", "active", 8.0, 0),
         hosts[1].entry("box", "shop", "active", 8.0, 0),
@@ -31,11 +36,9 @@
     // Without the disruption, the same commands go one at a time on one connection.
     let ids: Vec<String> = (0..commands).map(|_| call_id()).collect();
     let more = "X-Heap-Kb: 412.5\r\nIf-None-Match: \"4be0c1927d55a6f3\"\r\n";
-    let bytes_of = |number: usize| {
-        let object = format!("{:016x}", 0x7f3a_9c21_e0b4_0000_u64 + number as u64);
-        request("pages", &object, 3, &ids[number], 5000, more)
-    };
-    let mut answered = 0;
+    let object_of = |number: usize| format!("{:016x}", 0x7f3a_9c21_e0b4_0000_u64 + number as u64);
+    let bytes_of = |number: usize| request("pages", &object_of(number), PART, &ids[number], 5000, more);
+    let (mut answered, mut wrong) = (0, 0);
     let mut client =
         Client::connect(dispatcher.address).unwrap_or_else(|error| cannot_run(&error.to_string()));
     let mut end = None;
@@ -55,6 +58,11 @@
         match client.receive(Duration::from_millis(5500)) {
             Ok(response) => {
                 answered += 1;
+                let object = object_of(number);
+                if response.status == 200 && response.body != body_of(&object, PART, OBJECT_BYTES) {
+                    record.say(format!("{number} {id}: wrong bytes"));
+                    wrong += 1;
+                }
                 record.line(format!(
                     "{number} {id}: {}{}",
                     response.status,
@@ -73,5 +81,5 @@
         "{answered} of {commands} commands were answered, {} were not ({end:?}); cache hosts ran {ran}",
         commands - answered
     ));
-    answered == commands
+    answered == commands && wrong == 0
 }
